--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,99 @@
+//! The command line.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Args, Parser, Subcommand};
+use tracing::level_filters::LevelFilter;
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
+
+use crate::daemon;
+use crate::settings::Settings;
+
+/// A cluster scheduler: one daemon between users, workers, a cloud and a state service.
+#[derive(Parser)]
+#[command(version, about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a controller until it is killed
+    Serve(Files),
+    /// Check the settings files and print what is in force
+    Check(Files),
+}
+
+#[derive(Args)]
+struct Files {
+    /// The operator's own settings (INI)
+    #[arg(long, value_name = "FILE")]
+    operator: Option<PathBuf>,
+    /// The platform's settings (JSON)
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+}
+
+/// Exit status for settings that can't be used.
+const BAD_SETTINGS: u8 = 2;
+
+fn log_level(text: &str) -> Option<LevelFilter> {
+    match text {
+        "error" => Some(LevelFilter::ERROR),
+        "info" => Some(LevelFilter::INFO),
+        "debug" => Some(LevelFilter::DEBUG),
+        _ => None,
+    }
+}
+
+fn start_logging() {
+    let text = std::env::var("LOG_LEVEL").unwrap_or_default();
+    let level = log_level(&text).unwrap_or(LevelFilter::ERROR);
+    // The server calls every connection that a user or a cut ends early an error.
+    let targets = Targets::new()
+        .with_default(level)
+        .with_target("warp::server", LevelFilter::OFF)
+        .with_target("hyper", LevelFilter::OFF)
+        .with_target("hyper_util", LevelFilter::OFF);
+    let lines = tracing_subscriber::fmt::layer()
+        .with_writer(std::io::stderr)
+        .with_ansi(false);
+    tracing_subscriber::registry()
+        .with(lines)
+        .with(targets)
+        .init();
+    if !text.is_empty() && log_level(&text).is_none() {
+        tracing::error!(text, "LOG_LEVEL must be error, info or debug");
+    }
+}
+
+pub fn main() -> ExitCode {
+    let cli = Cli::parse();
+    start_logging();
+    let (Command::Serve(files) | Command::Check(files)) = &cli.command;
+    let settings = match Settings::read(&files.config, files.operator.as_deref()) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("jaspertiller: {error}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    if matches!(cli.command, Command::Check(_)) {
+        print!("{}", settings.summary());
+        return ExitCode::SUCCESS;
+    }
+    let ended = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(anyhow::Error::from)
+        .and_then(|runtime| runtime.block_on(daemon::run(settings)));
+    if let Err(error) = ended {
+        tracing::error!(%error, "can't serve");
+        eprintln!("jaspertiller: {error:#}");
+    }
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/src/controller/fleet_keeping.rs
@@ -0,0 +1,473 @@
+//! The leader's care of the fleet: renting by need, replacing what never comes up, returning
+//! what stands idle.
+
+use std::collections::{BTreeMap, HashSet};
+
+use super::{Controller, Effect};
+use crate::fleet::plan::{Bin, Headroom, Need, plan};
+use crate::fleet::{CloudAnswer, CloudCall, Fleet, Offer, Rented, Stage};
+use crate::jobs::cache::{Change, Evidence};
+use crate::jobs::{Rank, Shape};
+use crate::types::{HostId, JobId, Millis, Room};
+
+const EVERY: Millis = Millis(1_000);
+const LIST_EVERY: Millis = Millis(2_500);
+const FLAVORS_EVERY: Millis = Millis(60_000);
+const RETRY: Millis = Millis(1_000);
+/// An offer without capacity is asked for again after this long.
+const SOLD_OUT: Millis = Millis(15_000);
+/// A machine that takes this many times its usual boot time never comes up.
+const NEVER: f64 = 3.0;
+/// Arrivals of this long tell the rate.
+const WINDOW: Millis = Millis(180_000);
+/// The most machines one request may ask for.
+const MOST_RENTED: u32 = 50;
+const MOST_DELETED: usize = 100;
+/// A holder's word that a machine is being emptied holds for this long.
+const WORD_HOLDS: Millis = Millis(3_000);
+
+impl Controller {
+    pub(super) fn start_leading(&mut self) {
+        self.fleet = Fleet::default();
+        self.drains.clear();
+        self.arrivals.clear();
+    }
+
+    fn call_cloud(&mut self, call: CloudCall) -> u64 {
+        let tag = self.tag();
+        self.cloud_calls.insert(tag, call.clone());
+        self.effects.push(Effect::Cloud { tag, call });
+        tag
+    }
+
+    /// How much of a machine a newly accepted job of some urgency takes.
+    pub(super) fn note_arrival(&mut self, _id: &JobId) {}
+
+    pub(super) fn keep_fleet(&mut self) {
+        let pause = if self.flavors.is_empty() {
+            RETRY
+        } else {
+            FLAVORS_EVERY
+        };
+        if self.flavors_asked == Millis(0) || self.now.since(self.flavors_asked) >= pause {
+            self.flavors_asked = self.now;
+            self.call_cloud(CloudCall::Flavors);
+        }
+        if self.leading().is_none()
+            || !self.synced
+            || self.now.since(self.fleet_ticked) < EVERY
+            || self.flavors.is_empty()
+        {
+            return;
+        }
+        self.fleet_ticked = self.now;
+        if !self.fleet.listing && self.now.since(self.fleet.list_started) >= LIST_EVERY {
+            self.fleet.listing = true;
+            self.fleet.list_started = self.now;
+            self.fleet.page_seen.clear();
+            self.call_cloud(CloudCall::List { after: None });
+        }
+        self.note_arrivals();
+        self.adopt_reporting();
+        self.mark_idle();
+        self.delete_lost();
+        if self.without_store().0 < 4_000 {
+            self.rent_and_return();
+        }
+    }
+
+    /// Jobs that are new since the last look, for the rate at which room is asked for.
+    fn note_arrivals(&mut self) {
+        let (now, led) = (self.now, self.led_since);
+        let seen = self.arrivals_until;
+        let mut found = Vec::new();
+        for job in self
+            .jobs
+            .iter()
+            .filter(|job| job.born > seen && job.born <= now)
+        {
+            if job.spec.rank < Rank::Urgent || job.spec.spot && job.spec.shape == Shape::Array {
+                continue;
+            }
+            let whole = self
+                .flavors
+                .iter()
+                .filter(|f| job.spec.room.fits_in(f.room))
+                .map(|f| job.spec.room.share_of(f.room))
+                .fold(1.0, f64::min);
+            found.push((job.born, whole * f64::from(job.record.tasks)));
+        }
+        self.arrivals.extend(found);
+        self.arrivals_until = now;
+        let window = WINDOW.0.min(now.since(led).0.max(60_000));
+        self.arrivals.retain(|(at, _)| now.since(*at).0 <= window);
+    }
+
+    /// Machines that report are there, whatever the list says.
+    fn adopt_reporting(&mut self) {
+        let silence = self.silence();
+        for machine in self.machines.values() {
+            if self.fleet.gone.contains(&machine.host) {
+                continue;
+            }
+            let rented = self
+                .fleet
+                .hosts
+                .entry(machine.host.clone())
+                .or_insert_with(|| Rented {
+                    rig: machine.rig.clone(),
+                    zone: machine.zone.clone(),
+                    spot: machine.spot,
+                    stage: Stage::Running,
+                    since: self.now,
+                    listed: false,
+                    seen: self.now,
+                    idle: None,
+                });
+            if machine.heard + silence >= self.now {
+                rented.stage = Stage::Running;
+                rented.seen = self.now;
+            }
+        }
+    }
+
+    fn mark_idle(&mut self) {
+        for (host, rented) in &mut self.fleet.hosts {
+            let idle = rented.stage == Stage::Running && !self.jobs.busy(host);
+            rented.idle = match (idle, rented.idle) {
+                (false, _) => None,
+                (true, None) => Some(self.now),
+                (true, since) => since,
+            };
+        }
+    }
+
+    /// Deletes machines that failed, never came up, or fell silent for longer than a lease. The
+    /// cloud's answer is the evidence that their tasks are gone.
+    fn delete_lost(&mut self) {
+        let lease = Millis::from_secs(self.settings.deployment.workers.lease_s + 4.0);
+        let led_for = self.now.since(self.led_since);
+        let mut lost: Vec<HostId> = Vec::new();
+        for (host, rented) in &self.fleet.hosts {
+            let boot = self
+                .flavors
+                .iter()
+                .find(|f| f.sku == rented.rig)
+                .map_or(60.0, |f| f.boot_s.max(5.0));
+            let machine = self.machines.get(host);
+            let silent = match machine {
+                Some(machine) => self.now.since(machine.heard),
+                None => self.now.since(rented.since).min(led_for),
+            };
+            let never = rented.stage == Stage::Booting
+                && self.now.since(rented.since) > Millis::from_secs(boot * NEVER + 10.0);
+            let dead = rented.stage == Stage::Running && silent > lease && led_for > lease;
+            let sick = machine.is_some_and(|m| m.sick || m.warned && m.tasks.is_empty())
+                && !self.jobs.busy(host)
+                && self.drained(host);
+            if rented.stage == Stage::Failed || never || dead || sick {
+                lost.push(host.clone());
+            }
+        }
+        // Machines that only the records know: a list need not show them any more.
+        for host in self.jobs.hosts() {
+            let known = self.fleet.hosts.contains_key(host) || self.machines.contains_key(host);
+            if !known && led_for > lease {
+                lost.push(host.clone());
+            }
+        }
+        for (host, machine) in &self.machines {
+            if machine.sick && !self.fleet.gone.contains(host) {
+                self.drains.insert(host.clone());
+            }
+        }
+        self.delete(lost);
+    }
+
+    fn delete(&mut self, hosts: Vec<HostId>) {
+        let mut hosts: Vec<HostId> = hosts
+            .into_iter()
+            .filter(|h| !self.fleet.deleting.contains(h))
+            .collect();
+        hosts.truncate(MOST_DELETED);
+        if !hosts.is_empty() {
+            tracing::info!(?hosts, "deleting machines");
+            self.fleet.deleting.extend(hosts.iter().cloned());
+            self.call_cloud(CloudCall::Delete(hosts));
+        }
+    }
+
+    /// Whether a machine's holder keeps it free of new tasks and we know of all it placed there.
+    fn drained(&self, host: &HostId) -> bool {
+        if !self.drains.contains(host) || self.jobs.busy(host) {
+            return false;
+        }
+        let Some(machine) = self.machines.get(host) else {
+            return false;
+        };
+        if self.token_for(&machine.block).is_some() {
+            return true;
+        }
+        machine.draining
+            && self.peers.get(&machine.heard_by).is_some_and(|peer| {
+                self.now.since(peer.heard) <= WORD_HOLDS && self.applied >= peer.revision
+            })
+    }
+
+    fn sold_out(&self, offer: &Offer) -> bool {
+        self.fleet
+            .refused
+            .get(offer)
+            .is_some_and(|until| *until > self.now)
+    }
+
+    fn rent_and_return(&mut self) {
+        let mut bins = Vec::new();
+        let mut draining_idle = Vec::new();
+        for (host, rented) in &self.fleet.hosts {
+            let Some(flavor) = self.flavors.iter().find(|f| f.sku == rented.rig) else {
+                continue;
+            };
+            let machine = self.machines.get(host);
+            let bad = machine.is_some_and(|m| m.sick || m.warned)
+                || self.fleet.deleting.contains(host)
+                || rented.stage == Stage::Failed;
+            // One that is late is not counted on.
+            let late = rented.stage == Stage::Booting
+                && self.now.since(rented.since).secs() > flavor.boot_s * 1.8 + 5.0;
+            let silent = rented.stage == Stage::Running
+                && machine.is_none_or(|m| self.now.since(m.heard).0 > 3 * self.silence().0);
+            if bad || late || silent {
+                continue;
+            }
+            if self.drains.contains(host) {
+                draining_idle.push(host.clone());
+                continue;
+            }
+            let taken = self.jobs.taken(host);
+            bins.push(Bin {
+                host: Some(host.clone()),
+                offer: (rented.rig.clone(), rented.zone.clone(), rented.spot),
+                whole: flavor.room,
+                free: if self.jobs.busy(host) {
+                    flavor.room.minus(taken)
+                } else {
+                    flavor.room
+                },
+                idle_for: rented.idle.map_or(Millis(0), |since| self.now.since(since)),
+            });
+        }
+        for (offer, count) in self.fleet.renting.values() {
+            let flavor = self.flavors.iter().find(|f| f.sku == offer.0);
+            for _ in 0..*count {
+                bins.extend(flavor.map(|flavor| Bin {
+                    host: None,
+                    offer: offer.clone(),
+                    whole: flavor.room,
+                    free: flavor.room,
+                    idle_for: Millis(0),
+                }));
+            }
+        }
+        let mut jobs: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|job| job.active() && job.waiting() > 0)
+            .collect();
+        jobs.sort_by_key(|job| (std::cmp::Reverse(job.spec.rank), job.born));
+        let mut budget: BTreeMap<_, Room> = BTreeMap::new();
+        let mut needs = Vec::new();
+        for job in jobs {
+            let Some(team) = self.settings.team(&job.spec.team) else {
+                continue;
+            };
+            let used = budget
+                .entry(team.name.clone())
+                .or_insert_with(|| self.jobs.usage(&team.name));
+            let mut count = 0;
+            while count < job.waiting()
+                && crate::quota::within(used.plus(job.spec.room), team)
+                && count < 2_000
+            {
+                *used = used.plus(job.spec.room);
+                count += 1;
+            }
+            let spec = &job.spec;
+            needs.push(Need { spec, count });
+        }
+        let plan = plan(
+            bins,
+            &needs,
+            self.headroom(),
+            &self.flavors,
+            |offer| self.sold_out(offer),
+            self.settings.operator.idle_return,
+        );
+        for (offer, count) in plan.rent {
+            self.rent(offer, count.min(MOST_RENTED));
+        }
+        let keep: HashSet<HostId> = plan.release.into_iter().collect();
+        self.drains.extend(keep);
+        let ready: Vec<HostId> = draining_idle
+            .into_iter()
+            .filter(|host| self.drained(host))
+            .collect();
+        self.delete(ready);
+    }
+
+    /// Whole machines that should stand ready: what urgent work asks for while one boots.
+    fn headroom(&self) -> Option<Headroom> {
+        let flavor = self
+            .flavors
+            .iter()
+            .min_by(|a, b| a.price.total_cmp(&b.price))?;
+        let window = self
+            .now
+            .since(self.led_since)
+            .secs()
+            .clamp(60.0, WINDOW.secs());
+        let rate = self.arrivals.iter().map(|(_, share)| share).sum::<f64>() / window;
+        let lead_s = flavor.boot_s + 8.0;
+        Some(Headroom {
+            machines: (rate * lead_s).round() as u32,
+            room: flavor.room,
+        })
+    }
+
+    fn rent(&mut self, offer: Offer, count: u32) {
+        let Some(lead) = self.leading() else { return };
+        self.fleet.hires += 1;
+        // Unique for good: no two terms of leadership begin at the same revision.
+        let hire = format!("{}-{}-{}", self.me, lead.0, self.fleet.hires);
+        tracing::info!(hire, ?offer, count, "renting");
+        let call = CloudCall::Rent {
+            hire,
+            offer: offer.clone(),
+            count,
+        };
+        let tag = self.call_cloud(call);
+        self.fleet.renting.insert(tag, (offer, count));
+    }
+
+    pub(super) fn on_cloud(&mut self, tag: u64, answer: CloudAnswer) {
+        let Some(call) = self.cloud_calls.remove(&tag) else {
+            return;
+        };
+        match (call, answer) {
+            (CloudCall::Flavors, CloudAnswer::Flavors(flavors)) => {
+                if self.flavors.is_empty() {
+                    tracing::info!(types = flavors.len(), "know the machine types");
+                }
+                self.flavors = flavors;
+            }
+            (CloudCall::List { .. }, CloudAnswer::Page { hosts, more }) => {
+                let last = hosts.last().map(|listed| listed.host.clone());
+                for listed in hosts {
+                    self.fleet.page_seen.insert(listed.host.clone());
+                    if self.fleet.gone.contains(&listed.host) {
+                        continue;
+                    }
+                    let now = self.now;
+                    let rented = self
+                        .fleet
+                        .hosts
+                        .entry(listed.host)
+                        .or_insert_with(|| Rented {
+                            rig: listed.rig,
+                            zone: listed.zone,
+                            spot: listed.spot,
+                            stage: listed.stage,
+                            since: now - listed.age,
+                            listed: true,
+                            seen: now,
+                            idle: None,
+                        });
+                    rented.listed = true;
+                    rented.seen = now;
+                    if listed.stage != Stage::Booting {
+                        rented.stage = listed.stage;
+                    }
+                }
+                match last.filter(|_| more) {
+                    Some(last) => {
+                        self.call_cloud(CloudCall::List { after: Some(last) });
+                    }
+                    None => self.end_of_list(),
+                }
+            }
+            (CloudCall::List { .. }, _) => self.fleet.listing = false,
+            (CloudCall::Rent { offer, .. }, CloudAnswer::Rented(hosts)) => {
+                let asked = self
+                    .fleet
+                    .renting
+                    .remove(&tag)
+                    .map_or(0, |(_, count)| count);
+                if (hosts.len() as u32) < asked {
+                    self.fleet
+                        .refused
+                        .insert(offer.clone(), self.now + SOLD_OUT);
+                }
+                for host in hosts {
+                    self.fleet.hosts.entry(host).or_insert_with(|| Rented {
+                        rig: offer.0.clone(),
+                        zone: offer.1.clone(),
+                        spot: offer.2,
+                        stage: Stage::Booting,
+                        since: self.now,
+                        listed: false,
+                        seen: self.now,
+                        idle: None,
+                    });
+                }
+            }
+            (CloudCall::Rent { offer, .. }, answer) => {
+                self.fleet.renting.remove(&tag);
+                let pause = match answer {
+                    CloudAnswer::NoCapacity => SOLD_OUT,
+                    _ => Millis(3_000),
+                };
+                self.fleet.refused.insert(offer, self.now + pause);
+            }
+            (CloudCall::Delete(hosts), CloudAnswer::Deleted) => self.deleted(hosts),
+            (CloudCall::Delete(hosts), _) => {
+                for host in hosts {
+                    self.fleet.deleting.remove(&host);
+                }
+            }
+            (CloudCall::Flavors, _) => {}
+        }
+    }
+
+    /// A machine that was listed and is no more, nor heard, is gone.
+    fn end_of_list(&mut self) {
+        self.fleet.listing = false;
+        self.fleet.listed_at = Some(self.now);
+        let lag = Millis::from_secs(self.settings.deployment.cloud.list_lag_s * 2.0 + 5.0);
+        let now = self.now;
+        let vanished: Vec<HostId> = self
+            .fleet
+            .hosts
+            .iter()
+            .filter(|(_, rented)| now.since(rented.seen) > lag)
+            .map(|(host, _)| host.clone())
+            .collect();
+        // Lists lag and disagree: only the answer to a deletion proves it.
+        self.delete(vanished);
+    }
+
+    fn deleted(&mut self, hosts: Vec<HostId>) {
+        let mut changes = Vec::new();
+        for host in hosts {
+            self.fleet.deleting.remove(&host);
+            self.fleet.hosts.remove(&host);
+            self.drains.remove(&host);
+            self.machines.remove(&host);
+            for (job, index) in self.jobs.on_host(&host) {
+                let evidence = Evidence::Deleted;
+                changes.push((job.clone(), *index, Change::Release { evidence }));
+            }
+            self.fleet.gone.insert(host);
+        }
+        self.note_changes(changes);
+    }
+}
--- /dev/null
+++ b/src/controller/membership.rs
@@ -0,0 +1,462 @@
+//! This controller's lease, leadership, the blocks, and the watch that feeds the cache.
+
+use super::{After, Controller, Purpose};
+use crate::jobs::cache::{Jobs, Touched};
+use crate::lease::{self, BlockRecord, LEADER, LeaderRecord, Moved, NodeRecord, Own};
+use crate::queue::{self, Queue};
+use crate::quota;
+use crate::store::{Answer, Call, Class, Txn, Update};
+use crate::types::{JobId, Millis, Revision, Team, Token};
+
+/// A watch waits this long for changes.
+const WATCH_MS: u64 = 10_000;
+/// Changes that come this close together are brought by one watch.
+const WATCH_PAUSE: Millis = Millis(30);
+const RETRY: Millis = Millis(300);
+/// One read of the revision serves all who asked for proof in this time.
+const READ_PAUSE: Millis = Millis(40);
+
+fn json(value: &impl serde::Serialize) -> String {
+    serde_json::to_string(value).unwrap_or_default()
+}
+
+impl Controller {
+    pub(super) fn keep_membership(&mut self) {
+        if !self.synced {
+            if !self.listing && self.now >= self.follow_after {
+                self.listing = true;
+                self.list_revision = None;
+                self.call_store(Class::Leases, Call::List { after: None }, Purpose::List);
+            }
+            return;
+        }
+        if !self.ended_old {
+            // Our record from before a restart: the process that held its lease is no more, so
+            // the lease can end now. Its tokens are not used again: a command of the old process
+            // may still be on its way.
+            match self
+                .leases
+                .nodes
+                .get(&self.me)
+                .map(|(record, _)| record.permit)
+            {
+                Some(permit) if self.busy_membership.insert("end") => {
+                    self.call_store(Class::Leases, Call::End(permit), Purpose::EndOld);
+                }
+                Some(_) => {}
+                None => self.ended_old = true,
+            }
+            return;
+        }
+        match self.leases.own {
+            Own::None => {
+                self.leases.own = Own::Asked;
+                let life_ms = self.settings.operator.lease.0;
+                let purpose = Purpose::Grant { sent: self.now };
+                self.call_store(Class::Leases, Call::Grant { life_ms }, purpose);
+            }
+            Own::Asked => {}
+            Own::Held { permit, .. } => {
+                let due = self.leases.renewed + Millis(self.settings.operator.lease.0 / 4);
+                if self.now >= due && self.busy_membership.insert("renew") {
+                    let purpose = Purpose::Renew { sent: self.now };
+                    self.call_store(Class::Leases, Call::Renew(permit), purpose);
+                }
+                let registered = self
+                    .leases
+                    .nodes
+                    .get(&self.me)
+                    .is_some_and(|(record, _)| record.permit == permit);
+                if registered {
+                    self.keep_leadership();
+                } else {
+                    self.register();
+                }
+            }
+        }
+    }
+
+    fn register(&mut self) {
+        let Some(permit) = self.leases.permit() else {
+            return;
+        };
+        if !self.busy_membership.insert("register") {
+            return;
+        }
+        let key = lease::node_key(&self.me);
+        let version = self
+            .leases
+            .nodes
+            .get(&self.me)
+            .map_or(Revision(0), |(_, v)| *v);
+        let record = NodeRecord {
+            permit,
+            zone: self.settings.zone.clone(),
+            hears: true,
+        };
+        let mut txn = Txn::default();
+        txn.require(key.clone(), version);
+        txn.put_leased(key, json(&record), permit);
+        self.transact(Class::Leases, txn, Purpose::Register);
+    }
+
+    fn keep_leadership(&mut self) {
+        let Some(permit) = self.leases.permit() else {
+            return;
+        };
+        if self.leases.leader.is_none() && self.busy_membership.insert("lead") {
+            let record = LeaderRecord {
+                leader: self.me.clone(),
+            };
+            let mut txn = Txn::default();
+            txn.require(LEADER.into(), Revision(0));
+            txn.put_leased(LEADER.into(), json(&record), permit);
+            self.transact(Class::Leases, txn, Purpose::Lead);
+        }
+        if let Some(version) = self.leading() {
+            self.assign_blocks(version);
+        }
+    }
+
+    fn assign_blocks(&mut self, lead: Revision) {
+        if self.busy_membership.contains("assign") {
+            return;
+        }
+        let zones = &self.settings.deployment.zones;
+        let parts = self.settings.operator.blocks_per_zone;
+        let mut txn = Txn::default();
+        txn.require(LEADER.into(), lead);
+        for (block, node) in lease::rightful(zones, parts, &self.leases.nodes) {
+            let present = self.leases.blocks.get(&block);
+            if present.is_some_and(|(holder, _)| *holder == node) {
+                continue;
+            }
+            if txn.changes.len() >= self.settings.deployment.state.txn_ops {
+                break;
+            }
+            let Some((record, version)) = self.leases.nodes.get(&node) else {
+                continue;
+            };
+            let known = present.map_or(Revision(0), |(_, token)| Revision(token.0));
+            let key = lease::block_key(&block);
+            txn.require(key.clone(), known);
+            txn.require(lease::node_key(&node), *version);
+            txn.put_leased(key, json(&BlockRecord { holder: node }), record.permit);
+        }
+        if !txn.changes.is_empty() {
+            self.busy_membership.insert("assign");
+            self.transact(Class::Leases, txn, Purpose::Assign);
+        }
+    }
+
+    pub(super) fn on_membership(&mut self, purpose: Purpose, answer: Answer) {
+        match purpose {
+            Purpose::Grant { sent } => {
+                self.leases.own = match answer {
+                    Answer::Granted(permit) => {
+                        self.leases.renewed = sent;
+                        let until = sent + self.settings.operator.lease;
+                        Own::Held { permit, until }
+                    }
+                    _ => Own::None,
+                };
+            }
+            Purpose::Renew { sent } => {
+                self.busy_membership.remove("renew");
+                match (answer, self.leases.own) {
+                    (Answer::Renewed, Own::Held { permit, .. }) => {
+                        self.leases.renewed = sent;
+                        let until = sent + self.settings.operator.lease;
+                        self.leases.own = Own::Held { permit, until };
+                    }
+                    (Answer::NoLease, _) => {
+                        tracing::info!("our lease is over");
+                        self.leases.own = Own::None;
+                    }
+                    // Perhaps an outage: the lease may well be there when it ends.
+                    _ => self.leases.renewed = self.now.max(RETRY) - RETRY,
+                }
+            }
+            Purpose::EndOld => {
+                self.busy_membership.remove("end");
+                if matches!(answer, Answer::Ended) {
+                    self.ended_old = true;
+                }
+            }
+            Purpose::Register => {
+                self.busy_membership.remove("register");
+                if matches!(answer, Answer::NoLease) {
+                    self.leases.own = Own::None;
+                }
+            }
+            Purpose::Lead => {
+                self.busy_membership.remove("lead");
+                if matches!(answer, Answer::NoLease) {
+                    self.leases.own = Own::None;
+                }
+            }
+            _ => {
+                self.busy_membership.remove("assign");
+            }
+        }
+    }
+
+    /// Whether this controller may place tasks in its blocks now.
+    pub(super) fn may_place(&self) -> bool {
+        let stop_before = self.settings.operator.stop_before;
+        match self.leases.own {
+            Own::Held { until, .. } => {
+                // A list of several pages is no picture of one moment: quotas are known only
+                // once the watch has passed its last page.
+                let complete = self.synced && self.applied >= self.list_end;
+                complete && self.now + stop_before < until
+            }
+            _ => false,
+        }
+    }
+
+    pub(super) fn on_list(&mut self, answer: Answer) {
+        match answer {
+            Answer::Page {
+                entries,
+                more,
+                revision,
+            } => {
+                // Later pages may show newer records; the watch starts at the first page's
+                // revision and brings what changed meanwhile, newest last.
+                let start = *self.list_revision.get_or_insert(revision);
+                self.list_end = revision;
+                let last = entries.last().map(|entry| entry.key.clone());
+                for entry in entries {
+                    self.feed(&entry.key, Some(entry.data.get()), entry.version);
+                }
+                if more && last.is_some() {
+                    let call = Call::List { after: last };
+                    self.call_store(Class::Leases, call, Purpose::List);
+                } else {
+                    self.listing = false;
+                    self.synced = true;
+                    self.applied = self.applied.max(start);
+                    tracing::info!(revision = start.0, "read all records");
+                    self.reconsider_all();
+                    self.keep_membership();
+                    self.keep_following();
+                }
+            }
+            _ => {
+                self.listing = false;
+                self.follow_after = self.now + RETRY;
+            }
+        }
+    }
+
+    pub(super) fn keep_following(&mut self) {
+        if self.synced && !self.following && self.now >= self.follow_after {
+            self.following = true;
+            let call = Call::Follow {
+                from: self.applied,
+                wait_ms: WATCH_MS,
+            };
+            self.call_store(Class::Leases, call, Purpose::Follow);
+        }
+    }
+
+    pub(super) fn on_follow(&mut self, answer: Answer) {
+        self.following = false;
+        match answer {
+            Answer::Updates { updates, revision } => {
+                let busy = !updates.is_empty();
+                for update in updates {
+                    match update {
+                        Update::Put(entry) => {
+                            self.feed(&entry.key, Some(entry.data.get()), entry.version);
+                        }
+                        Update::Dropped { key, version } => self.feed(&key, None, version),
+                    }
+                }
+                self.applied = self.applied.max(revision);
+                self.follow_after = if busy {
+                    self.now + WATCH_PAUSE
+                } else {
+                    self.now
+                };
+                self.proved();
+                self.keep_membership();
+                self.keep_following();
+            }
+            Answer::TooOld => {
+                tracing::info!("the watch fell behind: reading all records again");
+                self.start_over();
+            }
+            _ => self.follow_after = self.now + RETRY,
+        }
+    }
+
+    /// Forgets all records, to read them again.
+    fn start_over(&mut self) {
+        self.synced = false;
+        self.listing = false;
+        self.jobs = Jobs::default();
+        self.leases.nodes.clear();
+        self.leases.blocks.clear();
+        self.leases.leader = None;
+        self.teams.clear();
+        self.handed.clear();
+        self.stops.clear();
+        let operator = &self.settings.operator;
+        self.queue = Queue::new(
+            operator.backoff_first,
+            operator.backoff_most,
+            operator.flush,
+        );
+        self.follow_after = self.now;
+    }
+
+    pub(super) fn feed(&mut self, key: &str, data: Option<&str>, version: Revision) {
+        if let Some(team) = key.strip_prefix(quota::TEAMS) {
+            let known = self.teams.entry(Team::from(team)).or_default();
+            *known = (*known).max(version);
+            return;
+        }
+        if let Some(moved) = self.leases.feed(key, data, version) {
+            self.on_moved(moved);
+            return;
+        }
+        let touched = self.jobs.feed(key, data, version, self.now);
+        self.on_touched(touched);
+    }
+
+    fn on_moved(&mut self, moved: Moved) {
+        match moved {
+            Moved::Leader => {
+                if let Some(version) = self.leading() {
+                    tracing::info!(revision = version.0, "leading");
+                    self.led_since = self.now;
+                    self.start_leading();
+                } else if let Some(leader) = self.leader() {
+                    tracing::info!(%leader, "following");
+                }
+                self.handed.clear();
+                if self.synced {
+                    self.reconsider_all();
+                }
+            }
+            Moved::Node(_) => {
+                if self.synced && self.leading().is_some() {
+                    self.reconsider_all();
+                }
+            }
+            Moved::Block(block) => {
+                let holder = self.leases.blocks.get(&block);
+                if let Some((_, token)) = holder.filter(|(holder, _)| *holder == self.me) {
+                    tracing::info!(%block, token = token.0, "holding");
+                }
+            }
+        }
+    }
+
+    fn on_touched(&mut self, touched: Touched) {
+        let Some(id) = touched.job else { return };
+        if self.synced {
+            self.consider(&id);
+        }
+        let team = self.jobs.get(&id).map(|job| job.spec.team.clone());
+        for host in touched.freed {
+            self.wake(queue::Event::Freed(host));
+            self.wake(queue::Event::TaskLeft(id.clone()));
+            if let Some(team) = &team {
+                self.wake(queue::Event::TeamFreed(team.clone()));
+            }
+        }
+    }
+
+    /// Queues every job that this controller has to see to.
+    pub(super) fn reconsider_all(&mut self) {
+        let ids: Vec<JobId> = self.jobs.iter().map(|job| job.id.clone()).collect();
+        for id in ids {
+            self.consider(&id);
+        }
+    }
+
+    /// Asks for a proof that the cache is as new as this moment.
+    pub(super) fn once_fresh(&mut self, after: After) {
+        self.fresh.next.push(after);
+        self.read_revision();
+    }
+
+    pub(super) fn read_revision(&mut self) {
+        let fresh = &mut self.fresh;
+        if fresh.reading || fresh.next.is_empty() || self.now < fresh.started + READ_PAUSE {
+            return;
+        }
+        fresh.reading = true;
+        fresh.started = self.now;
+        fresh.current = std::mem::take(&mut fresh.next);
+        self.call_store(Class::Jobs, Call::ReadRevision, Purpose::Revision);
+    }
+
+    pub(super) fn on_revision(&mut self, answer: Answer) {
+        self.fresh.reading = false;
+        let asked = std::mem::take(&mut self.fresh.current);
+        match answer {
+            Answer::Revision(revision) => {
+                for after in asked {
+                    self.fresh.waiting.push((revision, after));
+                }
+                self.proved();
+            }
+            _ => {
+                for after in asked {
+                    self.not_proved(after);
+                }
+            }
+        }
+        self.read_revision();
+    }
+
+    /// Goes on with all that the cache is new enough for.
+    pub(super) fn proved(&mut self) {
+        if !self.synced {
+            return;
+        }
+        let applied = self.applied;
+        let waiting = std::mem::take(&mut self.fresh.waiting);
+        let (ready, waiting) = waiting
+            .into_iter()
+            .partition(|(needed, _)| *needed <= applied);
+        self.fresh.waiting = waiting;
+        for (_, after) in ready {
+            self.go_on(after);
+        }
+    }
+
+    /// Whether nobody else reaches the state service either, as far as they say.
+    pub(super) fn outage_is_common(&self) -> bool {
+        let alone = self.without_store();
+        self.settings.members.iter().all(|member| {
+            self.peers.get(&member.label).is_some_and(|peer| {
+                let age = self.now.since(peer.heard);
+                age.0 <= 3_000 && peer.without_store.0 + age.0 + 2_500 >= alone.0
+            })
+        })
+    }
+
+    pub(super) fn ready(&self) -> bool {
+        let lost = self.without_store().0 > 3_500;
+        self.synced && !self.flavors.is_empty() && (!lost || self.outage_is_common())
+    }
+
+    /// Whether reports may be answered. A controller that lost the state service can't learn of
+    /// cancellations, so it lets workers' leases run out in time for them, unless all others are
+    /// without it too: then nothing can have been cancelled.
+    pub(super) fn may_answer(&self) -> bool {
+        let workers = &self.settings.deployment.workers;
+        let spare = (workers.cancel_s - workers.lease_s) * 0.8 - 2.0;
+        self.without_store().secs() < spare.max(2.0) || self.outage_is_common()
+    }
+
+    /// The token under which a machine's worker is answered.
+    pub(super) fn token_for(&self, block: &crate::types::BlockId) -> Option<Token> {
+        self.leases.holds(block, &self.me)
+    }
+}
--- /dev/null
+++ b/src/controller/mod.rs
@@ -0,0 +1,372 @@
+//! The controller: a state machine that owns all slices. It takes events and yields effects, and
+//! does no I/O and reads no clock itself, so that tests can drive whole controllers through
+//! crashes and cuts in virtual time.
+
+mod committing;
+mod fleet_keeping;
+mod membership;
+mod placing;
+mod reports;
+mod users;
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::fleet::{CloudAnswer, CloudCall, Flavor, Fleet};
+use crate::jobs::api::{Refusal, Response};
+use crate::jobs::cache::Jobs;
+use crate::jobs::{Spec, cache::Change};
+use crate::lease::Leases;
+use crate::peers::Message;
+use crate::queue::Queue;
+use crate::settings::Settings;
+use crate::store::{Answer, Call, Class, Txn};
+use crate::types::{HostId, JobId, Millis, NodeId, ReplyId, Revision, Team};
+use crate::workers::Machine;
+use crate::workers::reconcile::Stops;
+use crate::workers::wire::{Report, ReportAnswer};
+
+pub enum Event {
+    /// Time passes; several times a second.
+    Tick,
+    Store {
+        tag: u64,
+        answer: Answer,
+    },
+    Cloud {
+        tag: u64,
+        answer: CloudAnswer,
+    },
+    Peer {
+        from: NodeId,
+        message: Message,
+    },
+    Report {
+        reply: ReplyId,
+        report: Report,
+    },
+    Submit {
+        reply: ReplyId,
+        submission: Result<(JobId, Spec), Refusal>,
+    },
+    Poll {
+        reply: ReplyId,
+        job: JobId,
+    },
+    Abort {
+        reply: ReplyId,
+        job: JobId,
+    },
+    Ready {
+        reply: ReplyId,
+    },
+}
+
+#[derive(Debug)]
+pub enum Effect {
+    Store {
+        tag: u64,
+        class: Class,
+        call: Call,
+    },
+    Cloud {
+        tag: u64,
+        call: CloudCall,
+    },
+    Peer {
+        to: NodeId,
+        message: Message,
+    },
+    User {
+        reply: ReplyId,
+        response: Response,
+    },
+    Worker {
+        reply: ReplyId,
+        answer: ReportAnswer,
+    },
+    Ready {
+        reply: ReplyId,
+        ready: bool,
+    },
+}
+
+/// What an answer of the state service is for.
+#[derive(Debug)]
+enum Purpose {
+    Grant {
+        sent: Millis,
+    },
+    Renew {
+        sent: Millis,
+    },
+    EndOld,
+    Register,
+    Lead,
+    Assign,
+    List,
+    Follow,
+    Revision,
+    Submit {
+        job: JobId,
+    },
+    Abort {
+        reply: ReplyId,
+        job: JobId,
+    },
+    Changes {
+        job: JobId,
+        changes: Vec<(u32, Change)>,
+    },
+    Clear {
+        job: JobId,
+    },
+}
+
+/// The records that a transaction writes, or drops.
+type Written = Vec<(String, Option<String>)>;
+
+/// What to do once the cache is proved new enough.
+#[derive(Debug)]
+enum After {
+    /// Answer a poll, or a submission of a job that is known.
+    State {
+        reply: ReplyId,
+        job: JobId,
+    },
+    Abort {
+        reply: ReplyId,
+        job: JobId,
+    },
+    /// A transaction's fate is clear now.
+    Settle {
+        job: JobId,
+    },
+}
+
+/// Proofs that the cache is new: one revision read serves all who asked before it began.
+#[derive(Default)]
+struct Freshness {
+    reading: bool,
+    started: Millis,
+    current: Vec<After>,
+    next: Vec<After>,
+    waiting: Vec<(Revision, After)>,
+}
+
+/// What another controller said last.
+#[derive(Debug)]
+struct PeerState {
+    heard: Millis,
+    revision: Revision,
+    /// How long it had been without the state service.
+    without_store: Millis,
+}
+
+pub struct Controller {
+    settings: Arc<Settings>,
+    me: NodeId,
+    now: Millis,
+    rng: SmallRng,
+    effects: Vec<Effect>,
+    next_tag: u64,
+    /// Calls in flight: what for, and the records that a transaction writes.
+    calls: HashMap<u64, (Purpose, Written)>,
+    cloud_calls: HashMap<u64, CloudCall>,
+
+    /// All records have been read once.
+    synced: bool,
+    applied: Revision,
+    follow_after: Millis,
+    following: bool,
+    listing: bool,
+    list_revision: Option<Revision>,
+    list_end: Revision,
+    store_heard: Millis,
+    ended_old: bool,
+
+    leases: Leases,
+    busy_membership: HashSet<&'static str>,
+    led_since: Millis,
+
+    jobs: Jobs,
+    teams: HashMap<Team, Revision>,
+    submitting: HashMap<JobId, Vec<ReplyId>>,
+    fresh: Freshness,
+
+    queue: Queue,
+    handed: HashSet<JobId>,
+    machines: BTreeMap<HostId, Machine>,
+    stops: Stops,
+    /// Jobs whose last task failed.
+    failed_jobs: HashSet<JobId>,
+    swept: Millis,
+    drains: HashSet<HostId>,
+    drains_heard: Millis,
+
+    flavors: Vec<Flavor>,
+    flavors_asked: Millis,
+    fleet: Fleet,
+    fleet_ticked: Millis,
+    arrivals: Vec<(Millis, f64)>,
+    arrivals_until: Millis,
+
+    peers: HashMap<NodeId, PeerState>,
+    status_sent: Millis,
+}
+
+impl Controller {
+    pub fn new(settings: Arc<Settings>, seed: u64) -> Self {
+        let operator = &settings.operator;
+        let queue = Queue::new(
+            operator.backoff_first,
+            operator.backoff_most,
+            operator.flush,
+        );
+        Self {
+            me: settings.label.clone(),
+            now: Millis(0),
+            rng: SmallRng::seed_from_u64(seed),
+            effects: Vec::new(),
+            next_tag: 1,
+            calls: HashMap::new(),
+            cloud_calls: HashMap::new(),
+            synced: false,
+            applied: Revision(0),
+            follow_after: Millis(0),
+            following: false,
+            listing: false,
+            list_revision: None,
+            list_end: Revision(0),
+            store_heard: Millis(0),
+            ended_old: false,
+            leases: Leases::default(),
+            busy_membership: HashSet::new(),
+            led_since: Millis(0),
+            jobs: Jobs::default(),
+            teams: HashMap::new(),
+            submitting: HashMap::new(),
+            fresh: Freshness::default(),
+            queue,
+            handed: HashSet::new(),
+            machines: BTreeMap::new(),
+            stops: Stops::new(),
+            failed_jobs: HashSet::new(),
+            swept: Millis(0),
+            drains: HashSet::new(),
+            drains_heard: Millis(0),
+            flavors: Vec::new(),
+            flavors_asked: Millis(0),
+            fleet: Fleet::default(),
+            fleet_ticked: Millis(0),
+            arrivals: Vec::new(),
+            arrivals_until: Millis(0),
+            peers: HashMap::new(),
+            status_sent: Millis(0),
+            settings,
+        }
+    }
+
+    /// Takes one event and returns what is to be done about it.
+    pub fn handle(&mut self, event: Event, now: Millis) -> Vec<Effect> {
+        self.now = self.now.max(now);
+        match event {
+            Event::Tick => self.on_tick(),
+            Event::Store { tag, answer } => self.on_store(tag, answer),
+            Event::Cloud { tag, answer } => self.on_cloud(tag, answer),
+            Event::Peer { from, message } => self.on_peer(from, message),
+            Event::Report { reply, report } => self.on_report(reply, report),
+            Event::Submit { reply, submission } => self.on_submit(reply, submission),
+            Event::Poll { reply, job } => self.on_poll(reply, job),
+            Event::Abort { reply, job } => self.on_abort(reply, job),
+            Event::Ready { reply } => {
+                let ready = self.ready();
+                self.effects.push(Effect::Ready { reply, ready });
+            }
+        }
+        self.schedule();
+        std::mem::take(&mut self.effects)
+    }
+
+    fn on_tick(&mut self) {
+        self.keep_membership();
+        self.keep_following();
+        self.read_revision();
+        self.queue.tick(self.now);
+        self.notice_silence();
+        self.keep_peers();
+        self.keep_fleet();
+    }
+
+    fn tag(&mut self) -> u64 {
+        self.next_tag += 1;
+        self.next_tag
+    }
+
+    fn call_store(&mut self, class: Class, call: Call, purpose: Purpose) {
+        let tag = self.tag();
+        self.calls.insert(tag, (purpose, Vec::new()));
+        self.effects.push(Effect::Store { tag, class, call });
+    }
+
+    fn transact(&mut self, class: Class, txn: Txn, purpose: Purpose) {
+        let tag = self.tag();
+        let written = txn
+            .changes
+            .iter()
+            .map(|change| match change {
+                crate::store::Change::Put { key, data, .. } => (key.clone(), Some(data.clone())),
+                crate::store::Change::Drop { key } => (key.clone(), None),
+            })
+            .collect();
+        self.calls.insert(tag, (purpose, written));
+        let call = Call::Txn(txn);
+        self.effects.push(Effect::Store { tag, class, call });
+    }
+
+    fn on_store(&mut self, tag: u64, answer: Answer) {
+        let Some((purpose, written)) = self.calls.remove(&tag) else {
+            return;
+        };
+        if !matches!(answer, Answer::Refused | Answer::Unknown) {
+            self.store_heard = self.now;
+        }
+        if let Answer::Committed(revision) = answer {
+            // What we wrote is known at once; the watch brings it again, as old news.
+            for (key, data) in written {
+                self.feed(&key, data.as_deref(), revision);
+            }
+        }
+        match purpose {
+            Purpose::Grant { .. }
+            | Purpose::Renew { .. }
+            | Purpose::EndOld
+            | Purpose::Register
+            | Purpose::Lead
+            | Purpose::Assign => self.on_membership(purpose, answer),
+            Purpose::List => self.on_list(answer),
+            Purpose::Follow => self.on_follow(answer),
+            Purpose::Revision => self.on_revision(answer),
+            Purpose::Submit { job } => self.on_submitted(job, answer),
+            Purpose::Abort { reply, job } => self.on_aborted(reply, job, answer),
+            Purpose::Changes { job, changes } => self.on_changes(job, changes, answer),
+            Purpose::Clear { job } => self.on_cleared(job, answer),
+        }
+    }
+
+    /// How long the state service has not answered.
+    fn without_store(&self) -> Millis {
+        self.now.since(self.store_heard)
+    }
+
+    fn leading(&self) -> Option<Revision> {
+        self.leases.leads(&self.me)
+    }
+
+    fn leader(&self) -> Option<&NodeId> {
+        self.leases.leader.as_ref().map(|(leader, _)| leader)
+    }
+}
--- /dev/null
+++ b/src/controller/placing.rs
@@ -0,0 +1,402 @@
+//! The ordinary path: one task a cycle from the queue onto a machine of our blocks; what does
+//! not fit goes to the leader.
+
+use std::collections::BTreeSet;
+
+use super::{Controller, Effect};
+use crate::cycle::{self, Candidate};
+use crate::jobs::cache::{Change, Job, Writing};
+use crate::jobs::{Placement, Shape};
+use crate::peers::{MachineView, Message, Status};
+use crate::queue::{Check, Event, Order};
+use crate::quota;
+use crate::types::{Attempt, HostId, JobId, Millis, NodeId, Revision, Room, Session, Zone};
+use crate::workers::{Machine, block_of};
+
+/// Cycles in one go, so that other events are not kept waiting.
+const MOST_CYCLES: usize = 64;
+const STATUS_EVERY: Millis = Millis(1_000);
+/// What the leader wants emptied is kept so for this long after it was last heard.
+const DRAIN_HOLDS: Millis = Millis(15_000);
+
+impl Controller {
+    fn responsible(&self, job: &Job) -> bool {
+        let home = &job.record.home;
+        *home == self.me
+            || self.handed.contains(&job.id)
+            || (self.leading().is_some() && !self.leases.nodes.contains_key(home))
+    }
+
+    fn order(&self, job: &Job) -> Order {
+        let at_once = match job.spec.shape {
+            Shape::Array => 1,
+            Shape::Gang | Shape::Service => job.record.tasks,
+        };
+        let wanted = job.spec.room.times(f64::from(at_once));
+        let guaranteed = self.settings.team(&job.spec.team).is_some_and(|team| {
+            quota::guaranteed(self.jobs.usage(&job.spec.team).plus(wanted), team)
+        });
+        Order {
+            beyond_guarantee: !guaranteed,
+            rank: std::cmp::Reverse(job.spec.rank),
+            born: job.born,
+        }
+    }
+
+    /// Queues a job if it has tasks to place and that is ours to do; sees to the rest of one
+    /// that is over.
+    pub(super) fn consider(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else {
+            self.queue.remove(id);
+            self.handed.remove(id);
+            self.failed_jobs.remove(id);
+            return;
+        };
+        if !job.active() {
+            let ours = self.responsible(job);
+            self.queue.remove(id);
+            if ours {
+                self.clear(id);
+            }
+            return;
+        }
+        if job.waiting() > 0 && self.responsible(job) && !self.queue.contains(id) {
+            let order = self.order(job);
+            if self.failed_jobs.remove(id) {
+                // Its last task failed: no machine may be right for it.
+                let none = BTreeSet::new();
+                self.queue.fail(id, 1, none, order, self.now, &mut self.rng);
+            } else {
+                self.queue.push(id, order);
+            }
+        }
+    }
+
+    /// A temporary error: the job waits, whatever the cluster does.
+    pub(super) fn fail_later(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        if job.active() && job.waiting() > 0 && self.responsible(job) {
+            let order = self.order(job);
+            self.queue
+                .fail(id, 0, BTreeSet::new(), order, self.now, &mut self.rng);
+        }
+    }
+
+    fn whole(&self, machine: &Machine) -> Room {
+        let flavor = self.flavors.iter().find(|f| f.sku == machine.rig);
+        flavor.map(|f| f.room).unwrap_or_default()
+    }
+
+    pub(super) fn free(&self, machine: &Machine) -> Room {
+        self.whole(machine).minus(self.jobs.taken(&machine.host))
+    }
+
+    /// Fit for tasks that we place ourselves: in a block of ours, and heard under its token.
+    fn ours(&self, machine: &Machine) -> bool {
+        self.token_for(&machine.block).is_some_and(|token| {
+            machine.baton == token
+                && machine.answered.is_some_and(|(under, _)| under == token)
+                && machine.fit(self.now, self.silence())
+                && !self.drains.contains(&machine.host)
+                && !self.fleet.gone.contains(&machine.host)
+        })
+    }
+
+    /// Fit as far as its holder says.
+    fn others(&self, machine: &Machine) -> bool {
+        self.token_for(&machine.block).is_none()
+            && self
+                .leases
+                .blocks
+                .get(&machine.block)
+                .is_some_and(|(holder, _)| *holder == machine.heard_by)
+            && machine.fit(self.now, self.silence())
+            && !self.fleet.gone.contains(&machine.host)
+    }
+
+    fn candidates(&self, own: bool, zone: Option<&Zone>) -> Vec<Candidate<'_>> {
+        self.machines
+            .values()
+            .filter(|m| if own { self.ours(m) } else { self.others(m) })
+            .filter(|m| zone.is_none_or(|zone| m.zone == *zone))
+            .map(|machine| Candidate {
+                machine,
+                whole: self.whole(machine),
+                free: self.free(machine),
+            })
+            .collect()
+    }
+
+    /// Runs cycles until nothing is active.
+    pub(super) fn schedule(&mut self) {
+        if !self.may_place() || self.flavors.is_empty() {
+            return;
+        }
+        for _ in 0..MOST_CYCLES {
+            let Some((id, fails)) = self.queue.pop() else {
+                break;
+            };
+            self.cycle(&id, fails);
+        }
+    }
+
+    fn cycle(&mut self, id: &JobId, fails: u32) {
+        let Some(job) = self.jobs.get(id) else { return };
+        if !job.active() || job.waiting() == 0 || matches!(job.writing, Writing::Settling(_)) {
+            // Settling brings it back.
+            return;
+        }
+        let order = self.order(job);
+        match self.place(id) {
+            Ok(()) => {
+                self.commit(id);
+                if let Some(job) = self.jobs.get(id)
+                    && job.waiting() > 0
+                {
+                    self.queue.push(id, order);
+                } else {
+                    self.handed.remove(id);
+                }
+            }
+            Err(checks) => self.not_placed(id, fails, checks, order),
+        }
+    }
+
+    /// No machine of ours will do.
+    fn not_placed(&mut self, id: &JobId, fails: u32, checks: BTreeSet<Check>, order: Order) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let blocked = checks.contains(&Check::Team) || checks.contains(&Check::Attempt);
+        let mut parked = checks;
+        if !blocked {
+            if self.leading().is_some() {
+                match cycle::choose(job, self.candidates(false, None).into_iter()) {
+                    Ok(host) => {
+                        let holder = self.machines.get(&host).map(|m| m.heard_by.clone());
+                        if let Some(to) = holder {
+                            let job = id.to_string();
+                            let message = Message::Place { job };
+                            self.effects.push(Effect::Peer { to, message });
+                        }
+                        // Handed over: looked at again soon, in case it did not work.
+                        parked.clear();
+                    }
+                    Err(more) => parked.extend(more),
+                }
+            } else if let Some(leader) = self.leader().cloned() {
+                let message = Message::Unplaced {
+                    job: id.to_string(),
+                };
+                let to = leader;
+                self.effects.push(Effect::Peer { to, message });
+                if job.record.home != self.me {
+                    self.handed.remove(id);
+                    return;
+                }
+            }
+        }
+        self.queue
+            .fail(id, fails, parked, order, self.now, &mut self.rng);
+    }
+
+    /// Reserves machines for the next task, or for all tasks of a gang.
+    fn place(&mut self, id: &JobId) -> Result<(), BTreeSet<Check>> {
+        let Some(job) = self.jobs.get(id) else {
+            return Ok(());
+        };
+        let gang = job.spec.shape == Shape::Gang;
+        if gang && (job.placed > 0 || !job.changes.is_empty()) {
+            return Err(BTreeSet::from([Check::Attempt]));
+        }
+        let count = if gang { job.record.tasks } else { 1 };
+        if let Some(team) = self.settings.team(&job.spec.team) {
+            let wanted = job.spec.room.times(f64::from(count));
+            if !quota::within(self.jobs.usage(&team.name).plus(wanted), team) {
+                return Err(BTreeSet::from([Check::Team]));
+            }
+        }
+        if !gang {
+            return match job.next_waiting(1).first().copied() {
+                Some((index, tried)) => self.reserve(id, index, Attempt(tried.0 + 1), None),
+                None => Ok(()),
+            };
+        }
+        let attempt = Attempt(job.highest_attempt().0 + 1);
+        let zones: Vec<Option<Zone>> = if job.spec.one_zone && count > 1 {
+            let zones: BTreeSet<Zone> = self.machines.values().map(|m| m.zone.clone()).collect();
+            zones.into_iter().map(Some).collect()
+        } else {
+            vec![None]
+        };
+        let mut rejected = BTreeSet::from([Check::Machine]);
+        for zone in zones {
+            let all = (0..count).try_for_each(|i| self.reserve(id, i, attempt, zone.as_ref()));
+            match all {
+                Ok(()) => return Ok(()),
+                Err(checks) => {
+                    // The permit step: all of a gang or none of it.
+                    rejected.extend(checks);
+                    self.jobs.discard_changes(id);
+                }
+            }
+        }
+        Err(rejected)
+    }
+
+    fn reserve(
+        &mut self,
+        id: &JobId,
+        index: u32,
+        attempt: Attempt,
+        zone: Option<&Zone>,
+    ) -> Result<(), BTreeSet<Check>> {
+        let Some(job) = self.jobs.get(id) else {
+            return Ok(());
+        };
+        let host = cycle::choose(job, self.candidates(true, zone).into_iter())?;
+        if let Some(machine) = self.machines.get(&host) {
+            let placement = Placement {
+                host,
+                block: machine.block.clone(),
+                session: machine.session,
+                attempt,
+            };
+            self.jobs.want(id, index, Change::Place(placement));
+        }
+        Ok(())
+    }
+
+    /// Tells the parked jobs of a change in the cluster.
+    pub(super) fn wake(&mut self, event: Event) {
+        let machine = match &event {
+            Event::Machine(host) | Event::Freed(host) => self.machines.get(host),
+            _ => None,
+        };
+        let room = machine.map(|m| (m, self.free(m)));
+        let jobs = &self.jobs;
+        self.queue.wake(self.now, |id, check| {
+            let Some(job) = jobs.get(id) else { return true };
+            match (check, &event) {
+                (Check::Room | Check::Machine, Event::Machine(_) | Event::Freed(_)) => {
+                    room.as_ref().is_some_and(|(machine, free)| {
+                        job.spec.allows(&machine.rig, &machine.zone, machine.spot)
+                            && job.spec.room.fits_in(*free)
+                    })
+                }
+                (Check::Zones, Event::Machine(_)) => true,
+                (Check::Zones | Check::Attempt, Event::TaskLeft(left)) => left == id,
+                (Check::Team, Event::TeamFreed(team)) => *team == job.spec.team,
+                _ => false,
+            }
+        });
+    }
+
+    pub(super) fn on_peer(&mut self, from: NodeId, message: Message) {
+        match message {
+            Message::Hello { .. } => {}
+            Message::Unplaced { job } => {
+                if self.leading().is_some() {
+                    self.take_over(&JobId::from(job));
+                }
+            }
+            Message::Place { job } => self.take_over(&JobId::from(job)),
+            Message::Status(status) => self.on_status(from, status),
+        }
+    }
+
+    fn take_over(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        if job.active() && job.waiting() > 0 {
+            let order = self.order(job);
+            self.handed.insert(id.clone());
+            self.queue.activate(id, order);
+        }
+    }
+
+    fn on_status(&mut self, from: NodeId, status: Status) {
+        let (now, parts) = (self.now, self.settings.operator.blocks_per_zone);
+        let state = super::PeerState {
+            heard: now,
+            revision: Revision(status.revision),
+            without_store: Millis(status.without_store_ms),
+        };
+        self.peers.insert(from.clone(), state);
+        let silence = self.silence();
+        let mut fit = Vec::new();
+        for view in status.machines {
+            let host = HostId::from(view.host);
+            let zone = Zone::from(view.zone);
+            let block = block_of(&host, &zone, parts);
+            let heard = now - Millis(view.silent_ms);
+            if self.token_for(&block).is_some() {
+                continue;
+            }
+            let machine = self.machines.entry(host.clone()).or_insert_with(|| {
+                Machine::new(host, view.rig.into(), zone, view.spot, block, from.clone())
+            });
+            let was_fit = machine.fit(now, silence);
+            machine.heard = machine.heard.max(heard);
+            machine.heard_by = from.clone();
+            machine.session = machine.session.max(Session(view.session));
+            machine.warned = view.warned;
+            machine.sick = view.sick;
+            machine.draining = view.draining;
+            machine.images = view.images.into_iter().map(|i| (i.into(), heard)).collect();
+            if !was_fit && machine.fit(now, silence) {
+                fit.push(machine.host.clone());
+            }
+        }
+        if self.leader() == Some(&from) {
+            self.drains = status.draining.into_iter().map(HostId::from).collect();
+            self.drains_heard = now;
+        }
+        for host in fit {
+            self.wake(Event::Machine(host));
+        }
+    }
+
+    /// Tells the others what we see, once a second.
+    pub(super) fn keep_peers(&mut self) {
+        if self.leading().is_none()
+            && !self.drains.is_empty()
+            && self.now.since(self.drains_heard) > DRAIN_HOLDS
+        {
+            self.drains.clear();
+        }
+        if self.now.since(self.status_sent) < STATUS_EVERY {
+            return;
+        }
+        self.status_sent = self.now;
+        let machines = self
+            .machines
+            .values()
+            .filter(|machine| self.token_for(&machine.block).is_some())
+            .map(|machine| MachineView {
+                host: machine.host.to_string(),
+                rig: machine.rig.as_str().into(),
+                zone: machine.zone.as_str().into(),
+                spot: machine.spot,
+                session: machine.session.0,
+                silent_ms: self.now.since(machine.heard).0,
+                warned: machine.warned,
+                sick: machine.sick,
+                draining: self.drains.contains(&machine.host),
+                images: machine.images.keys().map(|i| i.as_str().into()).collect(),
+            })
+            .collect();
+        let draining = if self.leading().is_some() {
+            self.drains.iter().map(|host| host.to_string()).collect()
+        } else {
+            Vec::new()
+        };
+        let status = Status {
+            revision: self.applied.0,
+            without_store_ms: self.without_store().0,
+            machines,
+            draining,
+        };
+        for member in &self.settings.members {
+            let (to, message) = (member.label.clone(), Message::Status(status.clone()));
+            self.effects.push(Effect::Peer { to, message });
+        }
+    }
+}
--- /dev/null
+++ b/src/controller/reports.rs
@@ -0,0 +1,223 @@
+//! Workers' reports: who answers them, and what they prove.
+
+use super::{Controller, Effect};
+use crate::jobs::Shape;
+use crate::jobs::cache::{Change, Evidence};
+use crate::queue;
+use crate::types::{HostId, JobId, Millis, ReplyId, TaskId, Token};
+use crate::workers::reconcile::reconcile;
+use crate::workers::wire::{Cause, Report, ReportAnswer, TaskStage};
+use crate::workers::{Machine, block_of};
+
+/// A start that was refused for room shows that the machine holds more than we know.
+const AFTER_REFUSAL: Millis = Millis(3_000);
+/// A machine without tasks that nobody has heard for this long is forgotten.
+const FORGET: Millis = Millis(120_000);
+
+impl Controller {
+    /// A worker that is silent for longer gets no new tasks.
+    pub(super) fn silence(&self) -> Millis {
+        Millis::from_secs(self.settings.deployment.workers.report_s * 2.5)
+    }
+
+    pub(super) fn on_report(&mut self, reply: ReplyId, report: Report) {
+        let answer = self.answer_report(report);
+        self.effects.push(Effect::Worker { reply, answer });
+    }
+
+    fn answer_report(&mut self, report: Report) -> ReportAnswer {
+        let parts = self.settings.operator.blocks_per_zone;
+        let block = block_of(&report.host, &report.yard, parts);
+        let Some(token) = self.token_for(&block) else {
+            return match self.leases.blocks.get(&block) {
+                Some((holder, _)) => ReportAnswer::Elsewhere(Some(holder.clone())),
+                None => ReportAnswer::Later,
+            };
+        };
+        if report.baton > token {
+            // Somebody holds this block under a higher token, whatever we have heard so far.
+            return ReportAnswer::Elsewhere(None);
+        }
+        if !self.may_answer() {
+            return ReportAnswer::Later;
+        }
+        let none = ReportAnswer::Orders {
+            token,
+            orders: Vec::new(),
+        };
+        let (now, me) = (self.now, self.me.clone());
+        let silence = self.silence();
+        let machine = self.machines.entry(report.host.clone()).or_insert_with(|| {
+            let (rig, zone) = (report.rig.clone(), report.yard.clone());
+            Machine::new(
+                report.host.clone(),
+                rig,
+                zone,
+                report.loaners,
+                block,
+                me.clone(),
+            )
+        });
+        if !machine.newer(report.shift, report.tally) {
+            return none;
+        }
+        let was_fit = machine.fit(now, silence) && machine.baton >= token;
+        machine.take_in(&report, now, &me);
+        machine.answered = Some((token, now));
+        if machine.baton < token {
+            // Its first report to us: it sees our token in the answer and reports again at once.
+            return none;
+        }
+        let fit = machine.fit(now, silence);
+        let host = report.host;
+        self.note_images(&host);
+        self.drain_warned(&host);
+        if fit && !was_fit {
+            self.wake(queue::Event::Machine(host.clone()));
+        }
+        let orders = self.see_to(&host, token);
+        ReportAnswer::Orders { token, orders }
+    }
+
+    /// Compares a machine's newest report with the records.
+    fn see_to(&mut self, host: &HostId, token: Token) -> Vec<crate::workers::wire::Order> {
+        let Some(machine) = self.machines.get(host) else {
+            return Vec::new();
+        };
+        let outcome = reconcile(machine, token, &self.jobs, &self.stops);
+        let refused_until = self.now + AFTER_REFUSAL;
+        if let Some(machine) = self.machines.get_mut(host) {
+            if outcome.successes > 0 {
+                machine.note_success();
+            }
+            for (job, cause) in &outcome.failures {
+                match cause {
+                    Cause::Error => machine.note_failure(job),
+                    Cause::NoRoom => machine.refused_until = refused_until,
+                    _ => {}
+                }
+            }
+            if machine.sick {
+                tracing::info!(%host, "the machine is sick");
+            }
+        }
+        for (job, cause) in &outcome.failures {
+            tracing::debug!(%job, %host, ?cause, "a task failed");
+            self.failed_jobs.insert(job.clone());
+        }
+        self.note_changes(outcome.changes);
+        outcome.orders
+    }
+
+    pub(super) fn note_changes(&mut self, changes: Vec<(JobId, u32, Change)>) {
+        let mut jobs: Vec<JobId> = Vec::new();
+        for (job, index, change) in changes {
+            self.jobs.want(&job, index, change);
+            if jobs.last() != Some(&job) {
+                jobs.push(job);
+            }
+        }
+        for job in jobs {
+            self.commit(&job);
+        }
+    }
+
+    /// A task past its fetch shows that its image is in the machine's cache.
+    fn note_images(&mut self, host: &HostId) {
+        let Some(machine) = self.machines.get_mut(host) else {
+            return;
+        };
+        for (task, seen) in &machine.tasks {
+            let fetched = match seen.stage {
+                TaskStage::Fetching => false,
+                TaskStage::Exited => matches!(seen.cause, Some(Cause::Done | Cause::Stopped)),
+                _ => true,
+            };
+            if fetched && let Some(job) = self.jobs.get(&task.job) {
+                machine.images.insert(job.spec.image.clone(), self.now);
+            }
+        }
+    }
+
+    /// The cloud takes the machine away: what can save its work is told to.
+    fn drain_warned(&mut self, host: &HostId) {
+        let Some(machine) = self.machines.get(host).filter(|m| m.warned) else {
+            return;
+        };
+        let running: Vec<TaskId> = machine
+            .tasks
+            .iter()
+            .filter(|(_, seen)| seen.stage == TaskStage::Running)
+            .map(|(task, _)| task.clone())
+            .collect();
+        for task in running {
+            let Some(job) = self.jobs.get(&task.job) else {
+                continue;
+            };
+            if job.spec.checkpoint_s <= 0.0 {
+                continue;
+            }
+            let gang = job.spec.shape == Shape::Gang;
+            let stopped: Vec<_> = job
+                .placements()
+                .filter(|(index, _)| gang || *index == task.index)
+                .map(|(index, p)| (index, p.attempt))
+                .collect();
+            for (index, attempt) in stopped {
+                let job = task.job.clone();
+                self.stops.insert(TaskId { job, index }, attempt);
+            }
+        }
+    }
+
+    /// Once in a while: leases of workers that ran out by our own clock, stops that are over, and
+    /// machines that are no more.
+    pub(super) fn notice_silence(&mut self) {
+        if self.now.since(self.swept) < Millis(1_000) {
+            return;
+        }
+        self.swept = self.now;
+        // The worker's clock may be slower than ours, and its timers late.
+        let lease_s = self.settings.deployment.workers.lease_s;
+        let lease = Millis::from_secs(lease_s * 1.002 + 1.5);
+        let mut changes = Vec::new();
+        for machine in self.machines.values() {
+            let Some(token) = self.token_for(&machine.block) else {
+                continue;
+            };
+            // Only a worker that we alone answered, under the token we still hold: another
+            // controller's answers would have renewed its lease unseen.
+            let over = machine
+                .answered
+                .is_some_and(|(under, at)| under == token && self.now.since(at) > lease)
+                && machine.baton >= token;
+            if !over {
+                continue;
+            }
+            for (id, index) in self.jobs.on_host(&machine.host) {
+                let Some(job) = self.jobs.get(id) else {
+                    continue;
+                };
+                let session_over = job
+                    .task(*index)
+                    .placement()
+                    .is_some_and(|p| p.session <= machine.session);
+                if session_over && !job.changes.contains_key(index) {
+                    let evidence = Evidence::Holder;
+                    changes.push((id.clone(), *index, Change::Release { evidence }));
+                }
+            }
+        }
+        self.note_changes(changes);
+        let jobs = &self.jobs;
+        self.stops.retain(|task, attempt| {
+            jobs.get(&task.job)
+                .and_then(|job| job.task(task.index).placement())
+                .is_some_and(|placement| placement.attempt == *attempt)
+        });
+        let now = self.now;
+        self.machines
+            .retain(|host, machine| now.since(machine.heard) < FORGET || jobs.busy(host));
+        self.reconsider_all();
+    }
+}
--- /dev/null
+++ b/src/controller/users.rs
@@ -0,0 +1,175 @@
+//! What users ask: submissions, polls and cancellations.
+
+use super::{After, Controller, Effect, Purpose};
+use crate::jobs::api::{self, JobState, Refusal, Response, Stage};
+use crate::jobs::record::{JobRecord, job_key, page_size};
+use crate::jobs::{Phase, Spec};
+use crate::store::{Answer, Class, Txn};
+use crate::types::{JobId, Millis, ReplyId, Revision};
+
+/// Without an answer of the state service for this long, users are told to come back.
+const STORE_LOST: Millis = Millis(2_500);
+
+fn is_final(state: &JobState) -> bool {
+    matches!(state.stage, Stage::Done | Stage::Aborted)
+}
+
+impl Controller {
+    pub(super) fn tell(&mut self, reply: ReplyId, response: Response) {
+        self.effects.push(Effect::User { reply, response });
+    }
+
+    pub(super) fn on_submit(&mut self, reply: ReplyId, submission: Result<(JobId, Spec), Refusal>) {
+        let (id, spec) = match submission {
+            Ok(submission) => submission,
+            Err(refusal) => return self.tell(reply, refusal.into()),
+        };
+        match self.jobs.state(&id) {
+            // An end is final, whoever tells it.
+            Some(state) if is_final(&state) => return self.tell(reply, Response::State(state)),
+            Some(_) => return self.ask_fresh(After::State { reply, job: id }),
+            None => {}
+        }
+        if !self.synced || self.flavors.is_empty() || self.without_store() > STORE_LOST {
+            return self.tell(reply, Response::Later(2));
+        }
+        if let Some(waiting) = self.submitting.get_mut(&id) {
+            waiting.push(reply);
+            return;
+        }
+        let spec = match api::admit(spec, &self.settings, &self.flavors) {
+            Ok(spec) => spec,
+            Err(refusal) => return self.tell(reply, refusal.into()),
+        };
+        let deployment = &self.settings.deployment;
+        let longest = deployment
+            .zones
+            .iter()
+            .map(|z| z.as_str().len())
+            .max()
+            .unwrap_or(0);
+        let record = JobRecord {
+            phase: Phase::Active,
+            home: self.me.clone(),
+            tasks: spec.tasks,
+            page: page_size(deployment.state.value_kb, longest),
+            spec: Some(spec),
+        };
+        let mut txn = Txn::default();
+        txn.require(job_key(&id), Revision(0));
+        txn.put(
+            job_key(&id),
+            serde_json::to_string(&record).unwrap_or_default(),
+        );
+        self.submitting.insert(id.clone(), vec![reply]);
+        self.transact(Class::Jobs, txn, Purpose::Submit { job: id });
+    }
+
+    pub(super) fn on_submitted(&mut self, id: JobId, answer: Answer) {
+        let replies = self.submitting.remove(&id).unwrap_or_default();
+        if matches!(answer, Answer::Committed(_)) {
+            self.note_arrival(&id);
+        }
+        for reply in replies {
+            match answer {
+                Answer::Committed(_) => self.tell(reply, Response::Accepted(id.clone())),
+                // Known already: from another controller, or from a request of ours that was
+                // thought lost.
+                Answer::Conflict(revision) => {
+                    let job = id.clone();
+                    self.fresh
+                        .waiting
+                        .push((revision, After::State { reply, job }));
+                    self.proved();
+                }
+                _ => self.tell(reply, Response::later()),
+            }
+        }
+    }
+
+    /// Asks for a proof unless the state service is away anyway.
+    fn ask_fresh(&mut self, after: After) {
+        if self.without_store() > STORE_LOST || !self.synced {
+            self.not_proved(after);
+        } else {
+            self.once_fresh(after);
+        }
+    }
+
+    pub(super) fn on_poll(&mut self, reply: ReplyId, job: JobId) {
+        match self.jobs.state(&job) {
+            Some(state) if is_final(&state) => self.tell(reply, Response::State(state)),
+            _ => self.ask_fresh(After::State { reply, job }),
+        }
+    }
+
+    pub(super) fn on_abort(&mut self, reply: ReplyId, job: JobId) {
+        match self.jobs.state(&job) {
+            Some(state) if is_final(&state) => self.tell(reply, Response::State(state)),
+            Some(_) => self.abort_known(reply, job),
+            None => self.ask_fresh(After::Abort { reply, job }),
+        }
+    }
+
+    fn abort_known(&mut self, reply: ReplyId, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return self.tell(reply, Response::later());
+        };
+        let record = JobRecord {
+            phase: Phase::Aborted,
+            ..job.record.clone()
+        };
+        let mut txn = Txn::default();
+        txn.require(job_key(&id), job.version);
+        txn.put(
+            job_key(&id),
+            serde_json::to_string(&record).unwrap_or_default(),
+        );
+        self.transact(Class::Jobs, txn, Purpose::Abort { reply, job: id });
+    }
+
+    pub(super) fn on_aborted(&mut self, reply: ReplyId, job: JobId, answer: Answer) {
+        match answer {
+            Answer::Committed(_) => match self.jobs.state(&job) {
+                Some(state) => self.tell(reply, Response::State(state)),
+                None => self.tell(reply, Response::later()),
+            },
+            Answer::Conflict(revision) => {
+                self.fresh
+                    .waiting
+                    .push((revision, After::Abort { reply, job }));
+                self.proved();
+            }
+            _ => self.tell(reply, Response::later()),
+        }
+    }
+
+    /// The cache is as new as the request now.
+    pub(super) fn go_on(&mut self, after: After) {
+        match after {
+            After::State { reply, job } => {
+                let response = self
+                    .jobs
+                    .state(&job)
+                    .map_or(Response::Unknown, Response::State);
+                self.tell(reply, response);
+            }
+            After::Abort { reply, job } => match self.jobs.state(&job) {
+                None => self.tell(reply, Response::Unknown),
+                Some(state) if is_final(&state) => self.tell(reply, Response::State(state)),
+                Some(_) => self.abort_known(reply, job),
+            },
+            After::Settle { job } => self.settle(&job),
+        }
+    }
+
+    pub(super) fn not_proved(&mut self, after: After) {
+        match after {
+            After::State { reply, .. } | After::Abort { reply, .. } => {
+                self.tell(reply, Response::later());
+            }
+            // A transaction's fate must become known, however long it takes.
+            settle @ After::Settle { .. } => self.fresh.next.push(settle),
+        }
+    }
+}
--- /dev/null
+++ b/src/cycle.rs
@@ -0,0 +1,91 @@
+//! One scheduling cycle as pure functions: filter, score, and which checks rejected.
+
+use std::collections::BTreeSet;
+
+use crate::jobs::Spec;
+use crate::jobs::cache::Job;
+use crate::queue::Check;
+use crate::types::{HostId, Room, Zone};
+use crate::workers::Machine;
+
+/// A machine as the cycle sees it.
+pub struct Candidate<'a> {
+    pub machine: &'a Machine,
+    pub whole: Room,
+    pub free: Room,
+}
+
+/// Weights of the scores; each score lies between 0 and 1.
+const IMAGE: f64 = 3.0;
+const FULLNESS: f64 = 2.0;
+const SPOT: f64 = 1.5;
+const UNTRIED: f64 = 4.0;
+
+/// Why a machine is not for this task; `None` if it is.
+pub fn filter(job: &Job, candidate: &Candidate) -> Option<Check> {
+    let (spec, machine) = (&job.spec, candidate.machine);
+    if !spec.allows(&machine.rig, &machine.zone, machine.spot)
+        || !spec.room.fits_in(candidate.whole)
+    {
+        return Some(Check::Machine);
+    }
+    if !zone_allowed(job, &machine.zone) {
+        return Some(Check::Zones);
+    }
+    if !spec.room.fits_in(candidate.free) {
+        return Some(Check::Room);
+    }
+    None
+}
+
+/// `oneZone` counts tasks of old attempts too, until they are proven gone; so does `spread`.
+pub fn zone_allowed(job: &Job, zone: &Zone) -> bool {
+    let spec = &job.spec;
+    if !spec.one_zone && !spec.spread {
+        return true;
+    }
+    let zones = job.zones();
+    if spec.one_zone && zones.keys().any(|z| z != zone) {
+        return false;
+    }
+    !spec.spread || zones.get(zone).copied().unwrap_or(0) < spec.zone_share()
+}
+
+/// The weighted sum of the scores.
+pub fn score(spec: &Spec, candidate: &Candidate, failed_here: bool) -> f64 {
+    let machine = candidate.machine;
+    let image = machine.images.contains_key(&spec.image);
+    let used = candidate.whole.minus(candidate.free).plus(spec.room);
+    let spot_fits = machine.spot == spec.spot;
+    let as_score = |yes: bool| f64::from(u8::from(yes));
+    IMAGE * as_score(image)
+        + FULLNESS * used.share_of(candidate.whole)
+        + SPOT * as_score(spot_fits)
+        + UNTRIED * as_score(!failed_here)
+}
+
+/// The best machine, or the checks that rejected all.
+pub fn choose<'a>(
+    job: &Job,
+    candidates: impl Iterator<Item = Candidate<'a>>,
+) -> Result<HostId, BTreeSet<Check>> {
+    let mut rejected = BTreeSet::from([Check::Machine]);
+    let mut best: Option<(f64, &'a HostId)> = None;
+    for candidate in candidates {
+        match filter(job, &candidate) {
+            Some(check) => {
+                rejected.insert(check);
+            }
+            None => {
+                let machine = candidate.machine;
+                let score = score(&job.spec, &candidate, machine.failed.contains(&job.id));
+                if best.is_none_or(|(high, host)| {
+                    score > high || (score == high && machine.host < *host)
+                }) {
+                    best = Some((score, &machine.host));
+                }
+            }
+        }
+    }
+    best.map(|(_, host)| host.clone()).ok_or(rejected)
+}
--- /dev/null
+++ b/src/fleet/client.rs
@@ -0,0 +1,126 @@
+//! The actor that speaks to the cloud within its budget.
+
+use std::time::Duration;
+
+use http::Method;
+use tokio::sync::mpsc;
+
+use super::wire::{FlavorsBody, Hosts, ListBody, RentBody};
+use super::{CloudAnswer, CloudCall};
+use crate::clock::Clock;
+use crate::http_client::HttpClient;
+use crate::settings::Settings;
+use crate::store::budget::Bucket;
+
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+/// The most machines one list shows.
+const PAGE: u32 = 500;
+/// Part of the budget that is used; the other controllers read the machine types too.
+const SHARE: f64 = 0.8;
+
+/// Address of the cloud actor.
+#[derive(Clone)]
+pub struct Cloud {
+    inbox: mpsc::UnboundedSender<(u64, CloudCall)>,
+}
+
+pub struct CloudReply {
+    pub tag: u64,
+    pub answer: CloudAnswer,
+}
+
+impl Cloud {
+    pub fn start(
+        settings: &Settings,
+        clock: Clock,
+        answers: mpsc::UnboundedSender<CloudReply>,
+    ) -> Self {
+        let (inbox, mut calls) = mpsc::unbounded_channel::<(u64, CloudCall)>();
+        let client = HttpClient::new(settings.outside.cloud);
+        let mut left = Bucket::new(settings.deployment.cloud.rps * SHARE, clock.now());
+        tokio::spawn(async move {
+            while let Some((tag, call)) = calls.recv().await {
+                let wait = left.wait(1.0, clock.now());
+                tokio::time::sleep(Duration::from_millis(wait.0)).await;
+                left.take(1.0);
+                let (client, answers) = (client.clone(), answers.clone());
+                tokio::spawn(async move {
+                    let answer = perform(&client, &call).await;
+                    let _ = answers.send(CloudReply { tag, answer });
+                });
+            }
+        });
+        Self { inbox }
+    }
+
+    pub fn send(&self, tag: u64, call: CloudCall) {
+        // The actor ends only with the process.
+        let _ = self.inbox.send((tag, call));
+    }
+}
+
+async fn perform(client: &HttpClient, call: &CloudCall) -> CloudAnswer {
+    let body_of = |value: Result<Vec<u8>, serde_json::Error>| value.unwrap_or_default();
+    let (method, path, body) = match call {
+        CloudCall::Flavors => (Method::GET, "/flavors".to_string(), Vec::new()),
+        CloudCall::List { after } => {
+            let from = after
+                .as_ref()
+                .map(|a| format!("from={a}&"))
+                .unwrap_or_default();
+            (
+                Method::GET,
+                format!("/rentals?{from}most={PAGE}"),
+                Vec::new(),
+            )
+        }
+        CloudCall::Rent { hire, offer, count } => {
+            let body = RentBody {
+                hire,
+                rig: &offer.0,
+                yard: &offer.1,
+                loaners: offer.2,
+                count: *count,
+            };
+            (
+                Method::POST,
+                "/rentals".into(),
+                body_of(serde_json::to_vec(&body)),
+            )
+        }
+        CloudCall::Delete(hosts) => {
+            let hosts = hosts.clone();
+            let body = body_of(serde_json::to_vec(&Hosts { hosts }));
+            (Method::POST, "/rentals/delete".into(), body)
+        }
+    };
+    let Ok((status, body)) = client.call(method, &path, body, CALL_LIMIT).await else {
+        return CloudAnswer::Failed;
+    };
+    let parsed = match (call, status) {
+        (CloudCall::Flavors, 200) => serde_json::from_slice(&body).map(|b: FlavorsBody| {
+            CloudAnswer::Flavors(b.rigs.into_iter().map(Into::into).collect())
+        }),
+        (CloudCall::List { .. }, 200) => {
+            serde_json::from_slice(&body).map(|b: ListBody| CloudAnswer::Page {
+                hosts: b.hosts.into_iter().map(Into::into).collect(),
+                more: b.truncated,
+            })
+        }
+        (CloudCall::Rent { .. }, 200) => {
+            serde_json::from_slice(&body).map(|b: Hosts| CloudAnswer::Rented(b.hosts))
+        }
+        (CloudCall::Rent { .. }, 503) if body.windows(8).any(|w| w == b"capacity") => {
+            Ok(CloudAnswer::NoCapacity)
+        }
+        (CloudCall::Delete(_), 200) => Ok(CloudAnswer::Deleted),
+        (_, status) => {
+            tracing::debug!(status, path, "the cloud refused");
+            Ok(CloudAnswer::Failed)
+        }
+    };
+    parsed.unwrap_or_else(|error| {
+        tracing::error!(%error, path, "the cloud's answer makes no sense");
+        CloudAnswer::Failed
+    })
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,103 @@
+//! The fleet: what the cloud offers and which machines there are. Only the leader rents, drains
+//! and returns.
+
+pub mod client;
+pub mod plan;
+pub mod wire;
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use crate::types::{HostId, Millis, Room, Sku, Zone};
+
+/// A machine type.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Flavor {
+    pub sku: Sku,
+    pub room: Room,
+    pub cache_gb: f64,
+    pub fetch_gb_per_s: f64,
+    pub price: f64,
+    pub spot_price: f64,
+    pub boot_s: f64,
+    pub zones: Vec<Zone>,
+}
+
+/// What can be rented: a type, in a zone, spot or ordinary.
+pub type Offer = (Sku, Zone, bool);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    Booting,
+    Running,
+    Failed,
+}
+
+/// A rented machine as the cloud has it.
+#[derive(Clone, Debug)]
+pub struct Rented {
+    pub rig: Sku,
+    pub zone: Zone,
+    pub spot: bool,
+    pub stage: Stage,
+    pub since: Millis,
+    /// Seen in a list.
+    pub listed: bool,
+    /// When it was last in a list, or rented.
+    pub seen: Millis,
+    /// Since when it stands idle.
+    pub idle: Option<Millis>,
+}
+
+#[derive(Clone, Debug)]
+pub enum CloudCall {
+    Flavors,
+    List {
+        after: Option<HostId>,
+    },
+    Rent {
+        hire: String,
+        offer: Offer,
+        count: u32,
+    },
+    Delete(Vec<HostId>),
+}
+
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub host: HostId,
+    pub rig: Sku,
+    pub zone: Zone,
+    pub spot: bool,
+    pub stage: Stage,
+    pub age: Millis,
+}
+
+#[derive(Clone, Debug)]
+pub enum CloudAnswer {
+    Flavors(Vec<Flavor>),
+    Page { hosts: Vec<Listed>, more: bool },
+    Rented(Vec<HostId>),
+    NoCapacity,
+    Deleted,
+    Failed,
+}
+
+/// What the leader knows of the fleet.
+#[derive(Default)]
+pub struct Fleet {
+    pub hosts: BTreeMap<HostId, Rented>,
+    /// Being deleted.
+    pub deleting: HashSet<HostId>,
+    /// The cloud answered that they are gone; lists may still show them.
+    pub gone: HashSet<HostId>,
+    /// Offers that had no capacity: not asked again before.
+    pub refused: HashMap<Offer, Millis>,
+    /// Rental requests under way.
+    pub renting: HashMap<u64, (Offer, u32)>,
+    pub hires: u64,
+    pub draining: BTreeMap<HostId, Millis>,
+    pub listed_at: Option<Millis>,
+    pub list_started: Millis,
+    pub listing: bool,
+    pub page_seen: HashSet<HostId>,
+}
--- /dev/null
+++ b/src/fleet/plan.rs
@@ -0,0 +1,291 @@
+//! What to rent and what to return, as a pure function of need.
+
+use std::collections::BTreeMap;
+
+use super::{Flavor, Offer};
+use crate::jobs::{Shape, Spec};
+use crate::types::{HostId, Millis, Room, Zone};
+
+/// A machine that is there or on its way.
+#[derive(Clone, Debug)]
+pub struct Bin {
+    /// None: would have to be rented.
+    pub host: Option<HostId>,
+    pub offer: Offer,
+    pub whole: Room,
+    pub free: Room,
+    pub idle_for: Millis,
+}
+
+impl Bin {
+    fn empty(&self) -> bool {
+        self.free == self.whole
+    }
+}
+
+/// Waiting tasks of one job.
+#[derive(Clone, Debug)]
+pub struct Need<'a> {
+    pub spec: &'a Spec,
+    pub count: u32,
+}
+
+/// Spare room that should stand ready: this many whole machines of that offer.
+#[derive(Clone, Debug)]
+pub struct Headroom {
+    pub machines: u32,
+    pub room: Room,
+}
+
+#[derive(Debug, Default, PartialEq)]
+pub struct Plan {
+    pub rent: BTreeMap<Offer, u32>,
+    pub release: Vec<HostId>,
+}
+
+/// The cheapest offer that the spec allows and that is not known to be sold out.
+pub fn cheapest(
+    spec_allows: impl Fn(&Offer) -> bool,
+    room: Room,
+    flavors: &[Flavor],
+    sold_out: impl Fn(&Offer) -> bool,
+    count_in: impl Fn(&Zone) -> usize,
+) -> Option<(Offer, Room)> {
+    let mut best: Option<((f64, usize), Offer, Room)> = None;
+    for flavor in flavors.iter().filter(|f| room.fits_in(f.room)) {
+        for zone in &flavor.zones {
+            for spot in [true, false] {
+                let offer = (flavor.sku.clone(), zone.clone(), spot);
+                if !spec_allows(&offer) || sold_out(&offer) {
+                    continue;
+                }
+                let price = if spot {
+                    flavor.spot_price
+                } else {
+                    flavor.price
+                };
+                let key = (price, count_in(zone));
+                if best.as_ref().is_none_or(|(low, _, _)| key < *low) {
+                    best = Some((key, offer, flavor.room));
+                }
+            }
+        }
+    }
+    best.map(|(_, offer, whole)| (offer, whole))
+}
+
+fn take_from(bins: &mut [Bin], spec: &Spec) -> bool {
+    // The fullest machine that has room, spot ones first where they will do.
+    let fit = bins
+        .iter_mut()
+        .filter(|bin| {
+            spec.allows(&bin.offer.0, &bin.offer.1, bin.offer.2) && spec.room.fits_in(bin.free)
+        })
+        .min_by(|a, b| {
+            let key = |bin: &Bin| (bin.offer.2 != spec.spot, bin.free.share_of(bin.whole));
+            key(a)
+                .partial_cmp(&key(b))
+                .unwrap_or(std::cmp::Ordering::Equal)
+        });
+    match fit {
+        Some(bin) => {
+            bin.free = bin.free.minus(spec.room);
+            true
+        }
+        None => false,
+    }
+}
+
+/// `needs` come with the most important first.
+pub fn plan(
+    mut bins: Vec<Bin>,
+    needs: &[Need],
+    headroom: Option<Headroom>,
+    flavors: &[Flavor],
+    sold_out: impl Fn(&Offer) -> bool,
+    idle_return: Millis,
+) -> Plan {
+    let mut plan = Plan::default();
+    let mut add = |bins: &mut Vec<Bin>, allows: &dyn Fn(&Offer) -> bool, room: Room| -> bool {
+        let count_in = |zone: &Zone| bins.iter().filter(|b| b.offer.1 == *zone).count();
+        let Some((offer, whole)) = cheapest(allows, room, flavors, &sold_out, count_in) else {
+            return false;
+        };
+        *plan.rent.entry(offer.clone()).or_insert(0) += 1;
+        bins.push(Bin {
+            host: None,
+            offer,
+            whole,
+            free: whole,
+            idle_for: Millis(0),
+        });
+        true
+    };
+    for need in needs {
+        let spec = need.spec;
+        let most = match spec.shape {
+            Shape::Array => need.count.min(2_000),
+            _ => need.count,
+        };
+        for _ in 0..most {
+            if take_from(&mut bins, spec) {
+                continue;
+            }
+            let allows = |o: &Offer| spec.allows(&o.0, &o.1, o.2);
+            if !add(&mut bins, &allows, spec.room) || !take_from(&mut bins, spec) {
+                break;
+            }
+        }
+    }
+    let mut spare = headroom.as_ref().map_or(0, |h| h.machines);
+    if let Some(headroom) = headroom {
+        let ready = |bin: &Bin| !bin.offer.2 && bin.empty() && headroom.room.fits_in(bin.whole);
+        let there = bins.iter().filter(|b| ready(b)).count() as u32;
+        for _ in there..headroom.machines {
+            let ordinary = |o: &Offer| !o.2;
+            if !add(&mut bins, &ordinary, headroom.room) {
+                break;
+            }
+        }
+    }
+    let mut idle: Vec<&Bin> = bins
+        .iter()
+        .filter(|b| b.host.is_some() && b.empty())
+        .collect();
+    idle.sort_by_key(|bin| bin.idle_for);
+    for bin in idle {
+        if !bin.offer.2 && spare > 0 {
+            spare -= 1;
+        } else if bin.idle_for >= idle_return {
+            plan.release.extend(bin.host.clone());
+        }
+    }
+    plan
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::jobs::api::{parse, tests::body};
+    use serde_json::json;
+
+    fn room(gpus: f64) -> Room {
+        Room {
+            cpus: gpus * 10.0,
+            gpus,
+            memory_gb: gpus * 50.0,
+        }
+    }
+
+    fn flavors() -> Vec<Flavor> {
+        vec![Flavor {
+            sku: "g8".into(),
+            room: room(8.0),
+            cache_gb: 100.0,
+            fetch_gb_per_s: 1.0,
+            price: 10.0,
+            spot_price: 4.0,
+            boot_s: 30.0,
+            zones: vec!["a".into(), "b".into()],
+        }]
+    }
+
+    fn spec(gpus: f64, spot: bool) -> Spec {
+        let mut b = body();
+        b["accelerators"] = json!(gpus);
+        b["vcpus"] = json!(gpus * 10.0);
+        b["memoryGb"] = json!(gpus * 50.0);
+        b["loaners"] = json!(spot);
+        b["rigs"] = json!(null);
+        parse(b.to_string().as_bytes()).unwrap().1
+    }
+
+    fn bin(name: &str, spot: bool, free: f64, idle_s: u64) -> Bin {
+        Bin {
+            host: Some(name.into()),
+            offer: ("g8".into(), "a".into(), spot),
+            whole: room(8.0),
+            free: room(free),
+            idle_for: Millis(idle_s * 1000),
+        }
+    }
+
+    #[test]
+    fn machines_are_rented_for_what_does_not_fit_and_returned_when_idle() {
+        let small = spec(1.0, true);
+        let firm = spec(1.0, false);
+        let whole = spec(8.0, false);
+        let need = |spec, count| Need { spec, count };
+        let cases = [
+            // bins, needs, spare, sold out spot, rented spot, rented ordinary, released
+            (vec![], vec![need(&small, 9)], 0, false, 2, 0, 0),
+            (vec![], vec![need(&small, 9)], 0, true, 0, 2, 0),
+            (
+                vec![],
+                vec![need(&firm, 9), need(&small, 7)],
+                0,
+                false,
+                0,
+                2,
+                0,
+            ),
+            (
+                vec![bin("vm-1", false, 4.0, 0)],
+                vec![need(&firm, 4)],
+                0,
+                false,
+                0,
+                0,
+                0,
+            ),
+            (
+                vec![bin("vm-1", true, 8.0, 0)],
+                vec![need(&firm, 4)],
+                0,
+                false,
+                0,
+                1,
+                0,
+            ),
+            (
+                vec![bin("vm-1", false, 7.0, 0)],
+                vec![need(&whole, 2)],
+                0,
+                false,
+                0,
+                2,
+                0,
+            ),
+            (vec![bin("vm-1", false, 8.0, 99)], vec![], 0, false, 0, 0, 1),
+            (vec![bin("vm-1", false, 8.0, 9)], vec![], 0, false, 0, 0, 0),
+            (vec![bin("vm-1", false, 8.0, 99)], vec![], 2, false, 0, 1, 0),
+            (vec![bin("vm-1", true, 8.0, 99)], vec![], 1, false, 0, 1, 1),
+        ];
+        for (index, (bins, needs, spare, no_spot, spot, ordinary, released)) in
+            cases.into_iter().enumerate()
+        {
+            let headroom = Headroom {
+                machines: spare,
+                room: room(8.0),
+            };
+            let sold_out = |o: &Offer| o.2 && no_spot;
+            let plan = plan(
+                bins,
+                &needs,
+                Some(headroom),
+                &flavors(),
+                sold_out,
+                Millis(20_000),
+            );
+            let rented = |spot| -> u32 {
+                plan.rent
+                    .iter()
+                    .filter(|(o, _)| o.2 == spot)
+                    .map(|(_, n)| n)
+                    .sum()
+            };
+            let got = (rented(true), rented(false), plan.release.len());
+            assert_eq!(got, (spot, ordinary, released), "case {index}");
+        }
+    }
+}
--- /dev/null
+++ b/src/http_server.rs
@@ -0,0 +1,190 @@
+//! The HTTP server for users, workers and health checks.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Serialize;
+use tokio::sync::oneshot;
+use warp::http::StatusCode;
+use warp::reply::Response as HttpResponse;
+use warp::{Filter, Reply};
+
+use crate::daemon::{Inbox, Request};
+use crate::jobs::api::{self, Response};
+use crate::types::{JobId, NodeId, Token};
+use crate::workers::wire::{LARGEST_REPORT, Order, Report, ReportAnswer};
+
+/// No request is worked on for longer: users wait 5 s, workers 4.
+const ANSWER_LIMIT: Duration = Duration::from_millis(3_800);
+
+#[derive(Serialize)]
+struct Reason<'a> {
+    error: &'a str,
+}
+
+#[derive(Serialize)]
+struct Accepted<'a> {
+    id: &'a JobId,
+    stage: api::Stage,
+}
+
+#[derive(Serialize)]
+struct Foreman {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    foreman: Option<NodeId>,
+}
+
+#[derive(Serialize)]
+struct Orders {
+    baton: Token,
+    orders: Vec<Order>,
+}
+
+fn json(status: StatusCode, body: &impl Serialize) -> HttpResponse {
+    warp::reply::with_status(warp::reply::json(body), status).into_response()
+}
+
+fn reason(status: StatusCode, error: &str) -> HttpResponse {
+    json(status, &Reason { error })
+}
+
+fn later(seconds: u32) -> HttpResponse {
+    let error = "not now: try again later";
+    let reply = json(StatusCode::SERVICE_UNAVAILABLE, &Reason { error });
+    warp::reply::with_header(reply, "Retry-After", seconds.to_string()).into_response()
+}
+
+fn user_response(response: Response) -> HttpResponse {
+    match response {
+        Response::Accepted(id) => {
+            let stage = api::Stage::Queued;
+            json(StatusCode::CREATED, &Accepted { id: &id, stage })
+        }
+        Response::State(state) => json(StatusCode::OK, &state),
+        Response::Malformed(why) => reason(StatusCode::BAD_REQUEST, &why),
+        Response::NeverRuns(why) => reason(StatusCode::UNPROCESSABLE_ENTITY, &why),
+        Response::Unknown => reason(StatusCode::NOT_FOUND, "no such job"),
+        Response::Later(seconds) => later(seconds),
+    }
+}
+
+fn worker_response(answer: ReportAnswer) -> HttpResponse {
+    match answer {
+        ReportAnswer::Orders { token, orders } => {
+            let baton = token;
+            json(StatusCode::OK, &Orders { baton, orders })
+        }
+        ReportAnswer::Elsewhere(foreman) => {
+            json(StatusCode::MISDIRECTED_REQUEST, &Foreman { foreman })
+        }
+        ReportAnswer::Later => later(1),
+    }
+}
+
+/// Asks the controller and waits for its answer.
+async fn ask<T>(inbox: &Inbox, request: impl FnOnce(oneshot::Sender<T>) -> Request) -> Option<T> {
+    let (sender, receiver) = oneshot::channel();
+    inbox.send(request(sender)).ok()?;
+    tokio::time::timeout(ANSWER_LIMIT, receiver)
+        .await
+        .ok()?
+        .ok()
+}
+
+async fn ask_for_user(
+    inbox: Inbox,
+    request: impl FnOnce(oneshot::Sender<Response>) -> Request,
+) -> Result<HttpResponse, Infallible> {
+    let response = ask(&inbox, request).await;
+    Ok(user_response(response.unwrap_or_else(Response::later)))
+}
+
+async fn report(inbox: Inbox, body: Bytes) -> Result<HttpResponse, Infallible> {
+    let report: Report = match serde_json::from_slice(&body) {
+        Ok(report) => report,
+        Err(error) => {
+            tracing::error!(%error, "a report makes no sense");
+            return Ok(reason(StatusCode::BAD_REQUEST, &error.to_string()));
+        }
+    };
+    let answer = ask(&inbox, |reply| Request::Report { report, reply }).await;
+    Ok(worker_response(answer.unwrap_or(ReportAnswer::Later)))
+}
+
+async fn rejected(rejection: warp::Rejection) -> Result<HttpResponse, Infallible> {
+    Ok(if rejection.is_not_found() {
+        reason(StatusCode::NOT_FOUND, "no such path")
+    } else if rejection.find::<warp::reject::MethodNotAllowed>().is_some() {
+        reason(StatusCode::METHOD_NOT_ALLOWED, "no such method here")
+    } else {
+        reason(
+            StatusCode::BAD_REQUEST,
+            "the body can't be taken: larger than 64 KiB, or of unknown length",
+        )
+    })
+}
+
+pub async fn serve(address: SocketAddr, inbox: Inbox) -> anyhow::Result<()> {
+    let inbox = Arc::new(inbox);
+    let inbox = warp::any().map(move || Inbox::clone(&inbox));
+    let body =
+        || warp::body::content_length_limit(api::LARGEST_BODY as u64).and(warp::body::bytes());
+    let submit = warp::path!("api" / "jobs")
+        .and(warp::post())
+        .and(inbox.clone())
+        .and(body())
+        .and_then(|inbox: Inbox, body: Bytes| {
+            let submission = api::parse(&body);
+            ask_for_user(inbox, |reply| Request::Submit { submission, reply })
+        });
+    let poll = warp::path!("api" / "jobs" / String)
+        .and(warp::get())
+        .and(inbox.clone())
+        .and_then(|job: String, inbox: Inbox| {
+            let job = job.as_str().into();
+            ask_for_user(inbox, |reply| Request::Poll { job, reply })
+        });
+    let abort = warp::path!("api" / "jobs" / String / "abort")
+        .and(warp::post())
+        .and(inbox.clone())
+        .and_then(|job: String, inbox: Inbox| {
+            let job = job.as_str().into();
+            ask_for_user(inbox, |reply| Request::Abort { job, reply })
+        });
+    let reports = warp::path!("v1" / "report")
+        .and(warp::post())
+        .and(inbox.clone())
+        .and(warp::body::content_length_limit(LARGEST_REPORT).and(warp::body::bytes()))
+        .and_then(report);
+    let ready =
+        warp::path!("ready")
+            .and(warp::get())
+            .and(inbox)
+            .and_then(|inbox: Inbox| async move {
+                let ready = ask(&inbox, |reply| Request::Ready { reply }).await;
+                Ok::<_, Infallible>(if ready == Some(true) {
+                    StatusCode::OK.into_response()
+                } else {
+                    later(1)
+                })
+            });
+    let routes = poll
+        .or(reports)
+        .unify()
+        .or(submit)
+        .unify()
+        .or(abort)
+        .unify()
+        .or(ready)
+        .unify();
+    let listener = tokio::net::TcpListener::bind(address).await?;
+    tracing::info!(%address, "serving");
+    warp::serve(routes.recover(rejected))
+        .incoming(listener)
+        .run()
+        .await;
+    Ok(())
+}
--- /dev/null
+++ b/src/jobs/cache.rs
@@ -0,0 +1,488 @@
+//! The cache of all job records, fed by the watch and by this controller's own commits.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use super::record::{JobRecord, decode_page, parse_page_key};
+use super::{Phase, Placement, Shape, Spec, Task};
+use crate::jobs::api::{JobState, Stage};
+use crate::types::{Attempt, HostId, JobId, Millis, Revision, Room, Team, Zone};
+
+/// What this controller wants the record of a task to say next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    Place(Placement),
+    /// The task is proven off the machine it was placed on, without being done.
+    Release {
+        evidence: Evidence,
+    },
+    Finish,
+}
+
+/// Why a task is known to be off its machine. Silence is none of these.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// Seen by the holder of the machine's block, under its token.
+    Holder,
+    /// The cloud answered that the machine is deleted.
+    Deleted,
+}
+
+#[derive(Debug)]
+pub struct Page {
+    pub version: Revision,
+    pub tasks: Vec<Task>,
+}
+
+/// What becomes of this job's changes.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Writing {
+    Idle,
+    InFlight,
+    /// A transaction failed or went unanswered: nothing is tried before the cache is this new
+    /// (none: before a revision read tells how new).
+    Settling(Option<Revision>),
+}
+
+#[derive(Debug)]
+pub struct Job {
+    pub id: JobId,
+    pub version: Revision,
+    pub record: JobRecord,
+    pub spec: Spec,
+    pub born: Millis,
+    pages: BTreeMap<u32, Page>,
+    /// Versions at which pages were dropped, so that an older put does not bring one back.
+    pub placed: u32,
+    pub done: u32,
+    pub changes: BTreeMap<u32, Change>,
+    pub writing: Writing,
+}
+
+impl Job {
+    pub fn active(&self) -> bool {
+        self.record.phase == Phase::Active
+    }
+
+    pub fn task(&self, index: u32) -> &Task {
+        self.pages
+            .get(&(index / self.record.page))
+            .and_then(|page| page.tasks.get((index % self.record.page) as usize))
+            .unwrap_or(&Task::FRESH)
+    }
+
+    pub fn page_version(&self, page: u32) -> Revision {
+        self.pages.get(&page).map(|p| p.version).unwrap_or_default()
+    }
+
+    pub fn page_keys(&self) -> impl Iterator<Item = u32> + '_ {
+        self.pages.keys().copied()
+    }
+
+    pub fn page_tasks(&self, page: u32) -> Vec<Task> {
+        match self.pages.get(&page) {
+            Some(page) => page.tasks.clone(),
+            None => vec![Task::FRESH; self.record.page_len(page) as usize],
+        }
+    }
+
+    /// Tasks that are on no machine, not done, and not about to be placed.
+    pub fn waiting(&self) -> u32 {
+        let placing = self
+            .changes
+            .values()
+            .filter(|c| matches!(c, Change::Place(_)))
+            .count() as u32;
+        self.record
+            .tasks
+            .saturating_sub(self.placed + self.done + placing)
+    }
+
+    /// The first tasks that could be placed now.
+    pub fn next_waiting(&self, most: usize) -> Vec<(u32, Attempt)> {
+        let mut found = Vec::new();
+        let waits = |task: &Task| matches!(task, Task::Waiting { .. });
+        for index in 0..self.record.tasks {
+            if found.len() >= most {
+                break;
+            }
+            let task = self.task(index);
+            if waits(task)
+                && !self.changes.contains_key(&index)
+                && let Task::Waiting { tried } = task
+            {
+                found.push((index, *tried));
+            }
+        }
+        found
+    }
+
+    /// The highest attempt that any task of the job had.
+    pub fn highest_attempt(&self) -> Attempt {
+        self.pages
+            .values()
+            .flat_map(|page| &page.tasks)
+            .map(|task| match task {
+                Task::Waiting { tried } => *tried,
+                Task::Placed(p) => p.attempt,
+                Task::Done => Attempt(0),
+            })
+            .max()
+            .unwrap_or_default()
+    }
+
+    pub fn placements(&self) -> impl Iterator<Item = (u32, &Placement)> {
+        self.pages.iter().flat_map(move |(page, content)| {
+            let first = page * self.record.page;
+            content
+                .tasks
+                .iter()
+                .enumerate()
+                .filter_map(move |(i, task)| Some((first + i as u32, task.placement()?)))
+        })
+    }
+
+    /// Tasks per zone, those about to be placed included.
+    pub fn zones(&self) -> BTreeMap<Zone, u32> {
+        let mut zones = BTreeMap::new();
+        let placing = self.changes.values().filter_map(|change| match change {
+            Change::Place(placement) => Some(placement),
+            _ => None,
+        });
+        for placement in self.placements().map(|(_, p)| p).chain(placing) {
+            *zones.entry(placement.block.zone.clone()).or_insert(0) += 1;
+        }
+        zones
+    }
+
+    /// A gang of which some tasks are placed and others not can't go on: what is left of the
+    /// attempt has to go first.
+    pub fn broken_gang(&self) -> bool {
+        self.spec.shape == Shape::Gang
+            && self.placed > 0
+            && self.placed + self.done < self.record.tasks
+    }
+
+    pub fn state(&self) -> JobState {
+        let stage = match self.record.phase {
+            Phase::Done => Stage::Done,
+            Phase::Aborted => Stage::Aborted,
+            Phase::Active if self.placed > 0 => Stage::Running,
+            Phase::Active => Stage::Queued,
+        };
+        JobState {
+            id: self.id.clone(),
+            stage,
+            done: self.done,
+            running: self.placed,
+        }
+    }
+}
+
+/// A job that is over and of which nothing is left anywhere: only its end is remembered.
+#[derive(Clone, Copy, Debug)]
+pub struct Over {
+    pub phase: Phase,
+    pub tasks: u32,
+}
+
+/// What a fed record touched.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Touched {
+    pub job: Option<JobId>,
+    /// Hosts that lost a task.
+    pub freed: Vec<HostId>,
+    /// Hosts that gained one.
+    pub taken: Vec<HostId>,
+}
+
+#[derive(Default)]
+pub struct Jobs {
+    jobs: HashMap<JobId, Job>,
+    over: HashMap<JobId, Over>,
+    on_host: HashMap<HostId, BTreeSet<(JobId, u32)>>,
+    usage: HashMap<Team, Room>,
+    /// Placed in memory, not yet committed.
+    reserved_on: HashMap<HostId, BTreeSet<(JobId, u32)>>,
+    reserved_by: HashMap<Team, Room>,
+    /// Pages that came before their job's record.
+    early: HashMap<JobId, BTreeMap<u32, (Revision, String)>>,
+}
+
+impl Jobs {
+    pub fn get(&self, id: &JobId) -> Option<&Job> {
+        self.jobs.get(id)
+    }
+
+    pub fn get_mut(&mut self, id: &JobId) -> Option<&mut Job> {
+        self.jobs.get_mut(id)
+    }
+
+    pub fn over(&self, id: &JobId) -> Option<JobState> {
+        self.over.get(id).map(|over| JobState {
+            id: id.clone(),
+            stage: match over.phase {
+                Phase::Aborted => Stage::Aborted,
+                _ => Stage::Done,
+            },
+            done: if over.phase == Phase::Done {
+                over.tasks
+            } else {
+                0
+            },
+            running: 0,
+        })
+    }
+
+    pub fn state(&self, id: &JobId) -> Option<JobState> {
+        self.get(id).map(Job::state).or_else(|| self.over(id))
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values()
+    }
+
+    pub fn on_host(&self, host: &HostId) -> impl Iterator<Item = &(JobId, u32)> {
+        self.on_host.get(host).into_iter().flatten()
+    }
+
+    pub fn hosts(&self) -> impl Iterator<Item = &HostId> {
+        self.on_host.keys()
+    }
+
+    pub fn busy(&self, host: &HostId) -> bool {
+        self.on_host.contains_key(host) || self.reserved_on.contains_key(host)
+    }
+
+    /// Room taken on a host: by what the records place there and by what is reserved.
+    pub fn taken(&self, host: &HostId) -> Room {
+        let reserved = self.reserved_on.get(host).into_iter().flatten();
+        self.on_host(host)
+            .chain(reserved)
+            .filter_map(|(job, _)| self.get(job))
+            .fold(Room::default(), |sum, job| sum.plus(job.spec.room))
+    }
+
+    /// What a team's tasks use, by the records and by what is reserved.
+    pub fn usage(&self, team: &Team) -> Room {
+        let committed = self.usage.get(team).copied().unwrap_or_default();
+        let reserved = self.reserved_by.get(team).copied().unwrap_or_default();
+        committed.plus(reserved)
+    }
+
+    pub fn feed_job(&mut self, id: &JobId, text: &str, version: Revision, now: Millis) -> Touched {
+        let record: JobRecord = match serde_json::from_str(text) {
+            Ok(record) => record,
+            Err(error) => {
+                tracing::error!(job = %id, %error, "a job record makes no sense");
+                return Touched::default();
+            }
+        };
+        if self.jobs.get(id).is_some_and(|job| job.version >= version) {
+            return Touched::default();
+        }
+        let Some(spec) = record.spec.clone() else {
+            self.forget(id);
+            let (phase, tasks) = (record.phase, record.tasks);
+            self.over.insert(id.clone(), Over { phase, tasks });
+            return Touched::default();
+        };
+        match self.jobs.get_mut(id) {
+            Some(job) => {
+                job.version = version;
+                job.record = record;
+            }
+            None => {
+                let job = Job {
+                    id: id.clone(),
+                    version,
+                    record,
+                    spec,
+                    born: now,
+                    pages: BTreeMap::new(),
+                    placed: 0,
+                    done: 0,
+                    changes: BTreeMap::new(),
+                    writing: Writing::Idle,
+                };
+                self.jobs.insert(id.clone(), job);
+                for (page, (version, text)) in self.early.remove(id).unwrap_or_default() {
+                    self.feed_page(id, page, &text, version);
+                }
+            }
+        }
+        Touched {
+            job: Some(id.clone()),
+            ..Touched::default()
+        }
+    }
+
+    fn forget(&mut self, id: &JobId) {
+        let pages: Vec<u32> = self
+            .get(id)
+            .map(|j| j.page_keys().collect())
+            .unwrap_or_default();
+        for page in pages {
+            self.set_page(id, page, None);
+        }
+        self.discard_changes(id);
+        self.jobs.remove(id);
+        self.early.remove(id);
+    }
+
+    pub fn feed_page(&mut self, id: &JobId, page: u32, text: &str, version: Revision) -> Touched {
+        let Some(job) = self.jobs.get(id) else {
+            if !self.over.contains_key(id) {
+                let pages = self.early.entry(id.clone()).or_default();
+                pages.insert(page, (version, text.to_string()));
+            }
+            return Touched::default();
+        };
+        if job.page_version(page) >= version {
+            return Touched::default();
+        }
+        match decode_page(text, job.record.page_len(page)) {
+            Some(tasks) => self.set_page(id, page, Some(Page { version, tasks })),
+            None => {
+                tracing::error!(job = %id, page, "a page of tasks makes no sense");
+                Touched::default()
+            }
+        }
+    }
+
+    pub fn drop_page(&mut self, id: &JobId, page: u32, version: Revision) -> Touched {
+        if let Some(pages) = self.early.get_mut(id) {
+            pages.remove(&page);
+        }
+        match self.jobs.get(id) {
+            Some(job) if job.page_version(page) < version => self.set_page(id, page, None),
+            _ => Touched::default(),
+        }
+    }
+
+    /// Replaces a page and keeps the sums over all jobs right.
+    fn set_page(&mut self, id: &JobId, page: u32, content: Option<Page>) -> Touched {
+        let mut touched = Touched {
+            job: Some(id.clone()),
+            ..Touched::default()
+        };
+        let Some(job) = self.jobs.get_mut(id) else {
+            return Touched::default();
+        };
+        let old = match content {
+            Some(content) => job.pages.insert(page, content),
+            None => job.pages.remove(&page),
+        };
+        let old = old.map(|p| p.tasks).unwrap_or_default();
+        let new = job
+            .pages
+            .get(&page)
+            .map(|p| p.tasks.as_slice())
+            .unwrap_or_default();
+        let first = page * job.record.page;
+        let usage = self.usage.entry(job.spec.team.clone()).or_default();
+        for index in 0..old.len().max(new.len()) {
+            let before = old.get(index).unwrap_or(&Task::FRESH);
+            let after = new.get(index).unwrap_or(&Task::FRESH);
+            if before == after {
+                continue;
+            }
+            let entry = (id.clone(), first + index as u32);
+            match before {
+                Task::Placed(p) => {
+                    job.placed -= 1;
+                    *usage = usage.minus(job.spec.room);
+                    if let Some(tasks) = self.on_host.get_mut(&p.host) {
+                        tasks.remove(&entry);
+                        if tasks.is_empty() {
+                            self.on_host.remove(&p.host);
+                        }
+                    }
+                    touched.freed.push(p.host.clone());
+                }
+                Task::Done => job.done -= 1,
+                Task::Waiting { .. } => {}
+            }
+            match after {
+                Task::Placed(p) => {
+                    job.placed += 1;
+                    *usage = usage.plus(job.spec.room);
+                    self.on_host
+                        .entry(p.host.clone())
+                        .or_default()
+                        .insert(entry);
+                    touched.taken.push(p.host.clone());
+                }
+                Task::Done => job.done += 1,
+                Task::Waiting { .. } => {}
+            }
+        }
+        touched
+    }
+
+    /// Notes a change to be committed. A placement reserves its room at once.
+    pub fn want(&mut self, id: &JobId, index: u32, change: Change) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if let Change::Place(placement) = &change {
+            let entry = (id.clone(), index);
+            let host = placement.host.clone();
+            self.reserved_on.entry(host).or_default().insert(entry);
+            let reserved = self.reserved_by.entry(job.spec.team.clone()).or_default();
+            *reserved = reserved.plus(job.spec.room);
+        }
+        job.changes.insert(index, change);
+    }
+
+    /// Gives up noted changes, whether committed by now or not; returns the hosts they reserved.
+    pub fn discard(&mut self, id: &JobId, indices: &[u32]) -> Vec<HostId> {
+        let mut hosts = Vec::new();
+        let Some(job) = self.jobs.get_mut(id) else {
+            return hosts;
+        };
+        for index in indices {
+            if let Some(Change::Place(placement)) = job.changes.remove(index) {
+                if let Some(tasks) = self.reserved_on.get_mut(&placement.host) {
+                    tasks.remove(&(id.clone(), *index));
+                    if tasks.is_empty() {
+                        self.reserved_on.remove(&placement.host);
+                    }
+                }
+                let reserved = self.reserved_by.entry(job.spec.team.clone()).or_default();
+                *reserved = reserved.minus(job.spec.room);
+                hosts.push(placement.host);
+            }
+        }
+        hosts
+    }
+
+    pub fn discard_changes(&mut self, id: &JobId) -> Vec<HostId> {
+        let indices: Vec<u32> = self
+            .get(id)
+            .map(|job| job.changes.keys().copied().collect())
+            .unwrap_or_default();
+        self.discard(id, &indices)
+    }
+
+    /// Feeds a record from the state service; `None`: the key was dropped.
+    pub fn feed(
+        &mut self,
+        key: &str,
+        data: Option<&str>,
+        version: Revision,
+        now: Millis,
+    ) -> Touched {
+        if let Some(id) = key.strip_prefix(super::record::JOBS) {
+            // Job records are never dropped: a job's end is remembered.
+            return match data {
+                Some(text) => self.feed_job(&id.into(), text, version, now),
+                None => Touched::default(),
+            };
+        }
+        match (parse_page_key(key), data) {
+            (Some((id, page)), Some(text)) => self.feed_page(&id, page, text, version),
+            (Some((id, page)), None) => self.drop_page(&id, page, version),
+            (None, _) => Touched::default(),
+        }
+    }
+}
--- /dev/null
+++ b/src/jobs/mod.rs
@@ -0,0 +1,119 @@
+//! Jobs: what users ask for, how it is recorded in the state service, and a cache of all records.
+
+pub mod api;
+pub mod cache;
+pub mod record;
+
+use serde::{Deserialize, Serialize};
+
+use crate::types::{Attempt, BlockId, HostId, Image, Room, Session, Sku, Team, Zone};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Shape {
+    /// Independent tasks, each runs to completion.
+    #[serde(rename = "sweep")]
+    Array,
+    /// All tasks run at the same time or none does.
+    Gang,
+    /// Replicas that run until the job is cancelled.
+    #[serde(rename = "standing")]
+    Service,
+}
+
+/// Priority; the greater goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Rank {
+    BestEffort,
+    Normal,
+    Urgent,
+    Critical,
+}
+
+/// What a user asked for, checked.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Spec {
+    #[serde(rename = "lot")]
+    pub class: String,
+    #[serde(rename = "crew")]
+    pub team: Team,
+    pub shape: Shape,
+    pub rank: Rank,
+    #[serde(rename = "picks")]
+    pub tasks: u32,
+    /// What each task takes.
+    pub room: Room,
+    #[serde(rename = "kit")]
+    pub image: Image,
+    #[serde(rename = "sizeGb")]
+    pub image_gb: f64,
+    /// Allowed machine types; none: any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rigs: Option<Vec<Sku>>,
+    /// The only allowed zone.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub yard: Option<Zone>,
+    pub one_zone: bool,
+    pub spread: bool,
+    /// Whether spot machines will do.
+    pub spot: bool,
+    pub estimate_s: f64,
+    pub checkpoint_s: f64,
+    pub save_s: f64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub due_s: Option<f64>,
+}
+
+impl Spec {
+    pub fn allows(&self, rig: &Sku, zone: &Zone, spot: bool) -> bool {
+        self.rigs.as_ref().is_none_or(|rigs| rigs.contains(rig))
+            && self.yard.as_ref().is_none_or(|yard| yard == zone)
+            && (self.spot || !spot)
+    }
+
+    /// With `spread`, the most tasks that may be in one zone.
+    pub fn zone_share(&self) -> u32 {
+        self.tasks.div_ceil(2)
+    }
+}
+
+/// Where a task was put, as committed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Placement {
+    pub host: HostId,
+    pub block: BlockId,
+    pub session: Session,
+    pub attempt: Attempt,
+}
+
+/// What the record says of a task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Task {
+    /// On no machine; `tried` is the highest attempt so far.
+    Waiting {
+        tried: Attempt,
+    },
+    /// On this machine, or on its way there, or not yet proven gone from it.
+    Placed(Placement),
+    Done,
+}
+
+impl Task {
+    pub const FRESH: Task = Task::Waiting { tried: Attempt(0) };
+
+    pub fn placement(&self) -> Option<&Placement> {
+        match self {
+            Task::Placed(placement) => Some(placement),
+            _ => None,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    Active,
+    Done,
+    Aborted,
+}
--- /dev/null
+++ b/src/lease.rs
@@ -0,0 +1,268 @@
+//! Leases: which controllers are there, which one leads, and who holds which block of machines.
+//!
+//! Each controller has one lease in the state service; its own record, its leadership and its
+//! blocks hang on it, so one renewal keeps them all and its end takes them all away.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::types::{BlockId, Millis, NodeId, Permit, Revision, Token, Zone};
+
+pub const NODES: &str = "jt/node/";
+pub const LEADER: &str = "jt/lead";
+pub const BLOCKS: &str = "jt/block/";
+
+pub fn node_key(node: &NodeId) -> String {
+    format!("{NODES}{node}")
+}
+
+pub fn block_key(block: &BlockId) -> String {
+    format!("{BLOCKS}{block}")
+}
+
+/// A controller's own record.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    pub permit: Permit,
+    pub zone: Zone,
+    /// Whether it can hold blocks: it hears from workers.
+    pub hears: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    pub leader: NodeId,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BlockRecord {
+    pub holder: NodeId,
+}
+
+/// The lease of this controller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Own {
+    None,
+    Asked,
+    /// Held at least until `until` by our clock.
+    Held {
+        permit: Permit,
+        until: Millis,
+    },
+}
+
+#[derive(Debug)]
+pub struct Leases {
+    pub own: Own,
+    pub renewed: Millis,
+    pub nodes: BTreeMap<NodeId, (NodeRecord, Revision)>,
+    pub leader: Option<(NodeId, Revision)>,
+    pub blocks: BTreeMap<BlockId, (NodeId, Token)>,
+}
+
+impl Default for Leases {
+    fn default() -> Self {
+        Self {
+            own: Own::None,
+            renewed: Millis(0),
+            nodes: BTreeMap::new(),
+            leader: None,
+            blocks: BTreeMap::new(),
+        }
+    }
+}
+
+/// What a fed record changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Moved {
+    Node(NodeId),
+    Leader,
+    Block(BlockId),
+}
+
+impl Leases {
+    pub fn permit(&self) -> Option<Permit> {
+        match self.own {
+            Own::Held { permit, .. } => Some(permit),
+            _ => None,
+        }
+    }
+
+    pub fn holds(&self, block: &BlockId, me: &NodeId) -> Option<Token> {
+        let (holder, token) = self.blocks.get(block)?;
+        (holder == me).then_some(*token)
+    }
+
+    pub fn leads(&self, me: &NodeId) -> Option<Revision> {
+        let (leader, version) = self.leader.as_ref()?;
+        (leader == me).then_some(*version)
+    }
+
+    pub fn feed(&mut self, key: &str, data: Option<&str>, version: Revision) -> Option<Moved> {
+        if key == LEADER {
+            let record: Option<LeaderRecord> = data.and_then(|d| serde_json::from_str(d).ok());
+            if self
+                .leader
+                .as_ref()
+                .is_some_and(|(_, known)| *known >= version)
+            {
+                return None;
+            }
+            self.leader = record.map(|r| (r.leader, version));
+            return Some(Moved::Leader);
+        }
+        if let Some(name) = key.strip_prefix(NODES) {
+            let node = NodeId::from(name);
+            if self
+                .nodes
+                .get(&node)
+                .is_some_and(|(_, known)| *known >= version)
+            {
+                return None;
+            }
+            match data.and_then(|d| serde_json::from_str(d).ok()) {
+                Some(record) => self.nodes.insert(node.clone(), (record, version)),
+                None => self.nodes.remove(&node),
+            };
+            return Some(Moved::Node(node));
+        }
+        let block = BlockId::parse(key.strip_prefix(BLOCKS)?)?;
+        let token = Token(version.0);
+        if self
+            .blocks
+            .get(&block)
+            .is_some_and(|(_, known)| *known >= token)
+        {
+            return None;
+        }
+        match data.and_then(|d| serde_json::from_str::<BlockRecord>(d).ok()) {
+            Some(record) => self.blocks.insert(block.clone(), (record.holder, token)),
+            None => self.blocks.remove(&block),
+        };
+        Some(Moved::Block(block))
+    }
+}
+
+/// Who should hold each block: controllers of its zone, in turn; blocks of a zone without any go
+/// to those who hold least. The same for all who know the same controllers, so nothing moves
+/// without need.
+pub fn rightful(
+    zones: &[Zone],
+    parts: u32,
+    nodes: &BTreeMap<NodeId, (NodeRecord, Revision)>,
+) -> BTreeMap<BlockId, NodeId> {
+    let fit: Vec<(&NodeId, &NodeRecord)> = {
+        let hearing: Vec<_> = nodes
+            .iter()
+            .filter(|(_, (r, _))| r.hears)
+            .map(|(n, (r, _))| (n, r))
+            .collect();
+        if hearing.is_empty() {
+            nodes.iter().map(|(n, (r, _))| (n, r)).collect()
+        } else {
+            hearing
+        }
+    };
+    let mut held: BTreeMap<&NodeId, u32> = fit.iter().map(|(n, _)| (*n, 0)).collect();
+    let mut result = BTreeMap::new();
+    let mut homeless = Vec::new();
+    let zones: BTreeSet<&Zone> = zones.iter().collect();
+    for zone in zones {
+        let local: Vec<&NodeId> = fit
+            .iter()
+            .filter(|(_, r)| r.zone == *zone)
+            .map(|(n, _)| *n)
+            .collect();
+        for part in 0..parts {
+            let zone = zone.clone();
+            let block = BlockId { zone, part };
+            match local.get(part as usize % local.len().max(1)) {
+                Some(node) => {
+                    *held.entry(node).or_default() += 1;
+                    result.insert(block, (*node).clone());
+                }
+                None => homeless.push(block),
+            }
+        }
+    }
+    for block in homeless {
+        if let Some((node, count)) = held
+            .iter_mut()
+            .min_by_key(|(node, count)| (**count, **node))
+        {
+            *count += 1;
+            result.insert(block, (*node).clone());
+        }
+    }
+    result
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn nodes(list: &[(&str, &str, bool)]) -> BTreeMap<NodeId, (NodeRecord, Revision)> {
+        list.iter()
+            .map(|(name, zone, hears)| {
+                let record = NodeRecord {
+                    permit: Permit(1),
+                    zone: (*zone).into(),
+                    hears: *hears,
+                };
+                ((*name).into(), (record, Revision(1)))
+            })
+            .collect()
+    }
+
+    #[test]
+    fn blocks_go_to_controllers_of_their_zone_first() {
+        type Case<'a> = (&'a [&'a str], &'a [(&'a str, &'a str, bool)], &'a str);
+        let cases: &[Case] = &[
+            (
+                &["a", "b"],
+                &[("n0", "a", true), ("n1", "b", true), ("n2", "a", true)],
+                "a.0=n0 a.1=n2 b.0=n1 b.1=n1",
+            ),
+            (
+                &["a", "b", "c"],
+                &[("n0", "a", true), ("n1", "b", true)],
+                "a.0=n0 a.1=n0 b.0=n1 b.1=n1 c.0=n0 c.1=n1",
+            ),
+            (
+                &["a", "b"],
+                &[("n0", "a", false), ("n1", "b", true)],
+                "a.0=n1 a.1=n1 b.0=n1 b.1=n1",
+            ),
+            (&["a"], &[("n0", "b", false)], "a.0=n0 a.1=n0"),
+            (&["a"], &[], ""),
+        ];
+        for (zones, list, expected) in cases {
+            let zones: Vec<Zone> = zones.iter().map(|z| (*z).into()).collect();
+            let shown: Vec<String> = rightful(&zones, 2, &nodes(list))
+                .iter()
+                .map(|(block, node)| format!("{block}={node}"))
+                .collect();
+            assert_eq!(shown.join(" "), *expected);
+        }
+    }
+
+    #[test]
+    fn an_older_record_changes_nothing() {
+        let mut leases = Leases::default();
+        let holder = |name: &str| format!("{{\"holder\":\"{name}\"}}");
+        let block = BlockId::parse("a.0").unwrap();
+        let steps = [
+            (Some(holder("n0")), 5, Some("n0")),
+            (Some(holder("n1")), 4, Some("n0")),
+            (None, 3, Some("n0")),
+            (Some(holder("n1")), 9, Some("n1")),
+            (None, 10, None),
+        ];
+        for (data, version, expected) in steps {
+            leases.feed("jt/block/a.0", data.as_deref(), Revision(version));
+            let held = leases.blocks.get(&block).map(|(n, _)| n.as_str());
+            assert_eq!(held, expected, "at {version}");
+        }
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,5 @@
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    jaspertiller::cli::main()
+}
--- /dev/null
+++ b/src/peers/mod.rs
@@ -0,0 +1,82 @@
+//! The link between controllers: `bitcode` frames over TCP. What is lost on it costs time, never
+//! safety: the state service arbitrates.
+
+pub mod link;
+
+use bitcode::{Decode, Encode};
+
+/// Spoken by both ends or not at all.
+pub const VERSION: u32 = 1;
+
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum Message {
+    /// The first frame of each connection.
+    Hello {
+        version: u32,
+        label: String,
+    },
+    Status(Status),
+    /// To the leader: this job does not fit the sender's blocks.
+    Unplaced {
+        job: String,
+    },
+    /// From the leader: the receiver's blocks have room for this job.
+    Place {
+        job: String,
+    },
+}
+
+/// What each controller tells the others about once a second.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct Status {
+    /// The sender's cache is this new.
+    pub revision: u64,
+    /// Milliseconds since the state service last answered the sender.
+    pub without_store_ms: u64,
+    /// The machines of the sender's blocks.
+    pub machines: Vec<MachineView>,
+    /// From the leader: machines that are to be emptied and returned.
+    pub draining: Vec<String>,
+}
+
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct MachineView {
+    pub host: String,
+    pub rig: String,
+    pub zone: String,
+    pub spot: bool,
+    pub session: u64,
+    /// Milliseconds since the worker was heard.
+    pub silent_ms: u64,
+    pub warned: bool,
+    pub sick: bool,
+    pub draining: bool,
+    pub images: Vec<String>,
+}
+
+/// No frame is larger.
+pub const LARGEST_FRAME: usize = 4 << 20;
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn frames_survive_and_nonsense_is_refused() {
+        let message = Message::Status(Status {
+            revision: 7,
+            without_store_ms: 0,
+            machines: vec![],
+            draining: vec!["vm-1".into()],
+        });
+        let frame = bitcode::encode(&message);
+        assert_eq!(bitcode::decode::<Message>(&frame).unwrap(), message);
+        for bad in [
+            &frame[..frame.len() - 1],
+            b"".as_slice(),
+            b"\xff\xff\xff\xff".as_slice(),
+        ] {
+            assert!(bitcode::decode::<Message>(bad).is_err());
+        }
+    }
+}
--- /dev/null
+++ b/src/queue.rs
@@ -0,0 +1,367 @@
+//! The pending queue in three parts: active, back-off and unschedulable.
+//!
+//! The tasks of one job are alike, so one entry stands for all of a job's waiting tasks; a cycle
+//! still takes one task.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use rand::Rng;
+
+use crate::jobs::Rank;
+use crate::types::{HostId, JobId, Millis, Team};
+
+/// A check that can reject a task, remembered so that only it judges whether an event helps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Check {
+    /// Type, zone and kind of machine.
+    Machine,
+    /// Free room.
+    Room,
+    /// One zone, or the spread over zones.
+    Zones,
+    /// The team's limit.
+    Team,
+    /// The rest of an old attempt.
+    Attempt,
+}
+
+/// A change in the cluster that may help a parked task.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A machine came, or became fit for tasks.
+    Machine(HostId),
+    /// Room came free on a machine.
+    Freed(HostId),
+    /// A task of this job left its machine.
+    TaskLeft(JobId),
+    /// The team uses less.
+    TeamFreed(Team),
+}
+
+/// Who goes first: work within its team's guarantee, then priority, then age.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Order {
+    pub beyond_guarantee: bool,
+    pub rank: std::cmp::Reverse<Rank>,
+    pub born: Millis,
+}
+
+#[derive(Clone, Debug)]
+enum Place {
+    Active(Order),
+    Backoff {
+        until: Millis,
+    },
+    Parked {
+        checks: BTreeSet<Check>,
+        since: Millis,
+        until: Millis,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    place: Place,
+    fails: u32,
+    order: Order,
+}
+
+pub struct Queue {
+    first: Millis,
+    most: Millis,
+    flush: Millis,
+    entries: HashMap<JobId, Entry>,
+    active: BTreeSet<(Order, JobId)>,
+    backoff: BTreeMap<(Millis, JobId), ()>,
+}
+
+impl Queue {
+    pub fn new(first: Millis, most: Millis, flush: Millis) -> Self {
+        Self {
+            first,
+            most,
+            flush,
+            entries: HashMap::new(),
+            active: BTreeSet::new(),
+            backoff: BTreeMap::new(),
+        }
+    }
+
+    pub fn contains(&self, job: &JobId) -> bool {
+        self.entries.contains_key(job)
+    }
+
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn detach(&mut self, job: &JobId) -> Option<Entry> {
+        let entry = self.entries.remove(job)?;
+        match &entry.place {
+            Place::Active(order) => {
+                self.active.remove(&(*order, job.clone()));
+            }
+            Place::Backoff { until } => {
+                self.backoff.remove(&(*until, job.clone()));
+            }
+            Place::Parked { .. } => {}
+        }
+        Some(entry)
+    }
+
+    fn attach(&mut self, job: JobId, place: Place, fails: u32, order: Order) {
+        match &place {
+            Place::Active(order) => {
+                self.active.insert((*order, job.clone()));
+            }
+            Place::Backoff { until } => {
+                self.backoff.insert((*until, job.clone()), ());
+            }
+            Place::Parked { .. } => {}
+        }
+        self.entries.insert(
+            job,
+            Entry {
+                place,
+                fails,
+                order,
+            },
+        );
+    }
+
+    /// Makes a job active; one that is queued already keeps its place.
+    pub fn push(&mut self, job: &JobId, order: Order) {
+        if !self.contains(job) {
+            self.attach(job.clone(), Place::Active(order), 0, order);
+        }
+    }
+
+    /// Makes a job active whatever part it was in.
+    pub fn activate(&mut self, job: &JobId, order: Order) {
+        let fails = self.detach(job).map_or(0, |entry| entry.fails);
+        self.attach(job.clone(), Place::Active(order), fails, order);
+    }
+
+    pub fn remove(&mut self, job: &JobId) {
+        self.detach(job);
+    }
+
+    /// Takes the first active job. It leaves the queue; `fail` or `push` bring it back.
+    pub fn pop(&mut self) -> Option<(JobId, u32)> {
+        let (_, job) = self.active.first()?.clone();
+        let fails = self.detach(&job).map_or(0, |entry| entry.fails);
+        Some((job, fails))
+    }
+
+    fn wait(&self, fails: u32, rng: &mut impl Rng) -> Millis {
+        let doubled = self
+            .first
+            .0
+            .saturating_mul(1 << fails.saturating_sub(1).min(20));
+        let wait = doubled.min(self.most.0);
+        Millis(wait + rng.random_range(0..=wait / 10))
+    }
+
+    /// After a failed try. With `checks`, every machine was rejected by one of them and the job
+    /// waits for an event; without, it only waits.
+    pub fn fail(
+        &mut self,
+        job: &JobId,
+        fails: u32,
+        checks: BTreeSet<Check>,
+        order: Order,
+        now: Millis,
+        rng: &mut impl Rng,
+    ) {
+        self.detach(job);
+        let fails = fails + 1;
+        let until = now + self.wait(fails, rng);
+        let place = if checks.is_empty() {
+            Place::Backoff { until }
+        } else {
+            let since = now;
+            Place::Parked {
+                checks,
+                since,
+                until,
+            }
+        };
+        self.attach(job.clone(), place, fails, order);
+    }
+
+    /// Asks the rejecting checks of each parked job whether the event helps.
+    pub fn wake(&mut self, now: Millis, mut helps: impl FnMut(&JobId, Check) -> bool) {
+        let woken: Vec<(JobId, Millis)> = self
+            .entries
+            .iter()
+            .filter_map(|(job, entry)| match &entry.place {
+                Place::Parked { checks, until, .. }
+                    if checks.iter().any(|check| helps(job, *check)) =>
+                {
+                    Some((job.clone(), *until))
+                }
+                _ => None,
+            })
+            .collect();
+        for (job, until) in woken {
+            self.leave_parking(&job, until, now);
+        }
+    }
+
+    fn leave_parking(&mut self, job: &JobId, until: Millis, now: Millis) {
+        if let Some(entry) = self.detach(job) {
+            let place = if until > now {
+                Place::Backoff { until }
+            } else {
+                Place::Active(entry.order)
+            };
+            self.attach(job.clone(), place, entry.fails, entry.order);
+        }
+    }
+
+    /// Moves on what has waited long enough.
+    pub fn tick(&mut self, now: Millis) {
+        while let Some((until, job)) = self.backoff.keys().next().cloned() {
+            if until > now {
+                break;
+            }
+            if let Some(entry) = self.detach(&job) {
+                let place = Place::Active(entry.order);
+                self.attach(job, place, entry.fails, entry.order);
+            }
+        }
+        let flush = self.flush;
+        let flushed: Vec<(JobId, Millis)> = self
+            .entries
+            .iter()
+            .filter_map(|(job, entry)| match &entry.place {
+                Place::Parked { since, until, .. } if now.since(*since) >= flush => {
+                    Some((job.clone(), *until))
+                }
+                _ => None,
+            })
+            .collect();
+        for (job, until) in flushed {
+            self.leave_parking(&job, until, now);
+        }
+    }
+
+    /// Lengths of the three parts, for the log.
+    pub fn lengths(&self) -> (usize, usize, usize) {
+        let (active, backoff) = (self.active.len(), self.backoff.len());
+        (active, backoff, self.entries.len() - active - backoff)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::SeedableRng;
+    use rand::rngs::SmallRng;
+    use std::cmp::Reverse;
+
+    fn order(rank: Rank, born: u64) -> Order {
+        Order {
+            beyond_guarantee: true,
+            rank: Reverse(rank),
+            born: Millis(born),
+        }
+    }
+
+    fn queue() -> (Queue, SmallRng) {
+        let queue = Queue::new(Millis(1_000), Millis(10_000), Millis(30_000));
+        (queue, SmallRng::seed_from_u64(1))
+    }
+
+    #[test]
+    fn the_guaranteed_go_first_then_priority_then_age() {
+        let (mut queue, _) = queue();
+        let guaranteed = Order {
+            beyond_guarantee: false,
+            ..order(Rank::BestEffort, 9)
+        };
+        let jobs = [
+            ("job-1", order(Rank::Normal, 1)),
+            ("job-2", order(Rank::Critical, 5)),
+            ("job-3", order(Rank::Critical, 4)),
+            ("job-4", guaranteed),
+            ("job-5", order(Rank::Normal, 0)),
+        ];
+        for (job, order) in jobs {
+            queue.push(&job.into(), order);
+        }
+        let popped: Vec<String> = std::iter::from_fn(|| queue.pop())
+            .map(|(job, _)| job.to_string())
+            .collect();
+        assert_eq!(popped, ["job-4", "job-3", "job-2", "job-5", "job-1"]);
+    }
+
+    #[test]
+    fn backoff_doubles_up_to_its_most() {
+        let (mut queue, mut rng) = queue();
+        let job = JobId::from("job-1");
+        for (fails, least, most) in [(0, 1_000, 1_100), (1, 2_000, 2_200), (9, 10_000, 11_000)] {
+            let order = order(Rank::Normal, 0);
+            queue.fail(&job, fails, BTreeSet::new(), order, Millis(0), &mut rng);
+            queue.tick(Millis(least - 1));
+            assert!(queue.pop().is_none(), "too early after {fails}");
+            queue.tick(Millis(most));
+            assert_eq!(queue.pop(), Some((job.clone(), fails + 1)));
+        }
+    }
+
+    #[test]
+    fn only_the_rejecting_checks_judge_an_event() {
+        let cases = [
+            // rejecting check, check that the event satisfies, time of the event, when active
+            (Check::Room, Check::Room, 500, Some(1_200)),
+            (Check::Room, Check::Room, 5_000, Some(5_000)),
+            (Check::Room, Check::Team, 5_000, None),
+            (Check::Team, Check::Team, 5_000, Some(5_000)),
+        ];
+        for (rejected, satisfied, at, active) in cases {
+            let (mut queue, mut rng) = queue();
+            let job = JobId::from("job-1");
+            let order = order(Rank::Normal, 0);
+            queue.fail(
+                &job,
+                0,
+                BTreeSet::from([rejected]),
+                order,
+                Millis(0),
+                &mut rng,
+            );
+            queue.wake(Millis(at), |_, check| check == satisfied);
+            queue.tick(Millis(at));
+            let early = queue.pop().is_some();
+            assert_eq!(early, active == Some(at), "{rejected:?} {satisfied:?} {at}");
+            if let Some(active) = active.filter(|_| !early) {
+                queue.tick(Millis(active));
+                assert!(queue.pop().is_some(), "{rejected:?} {satisfied:?} {at}");
+            }
+        }
+    }
+
+    #[test]
+    fn the_flush_frees_what_no_event_woke() {
+        let (mut queue, mut rng) = queue();
+        let job = JobId::from("job-1");
+        let order = order(Rank::Normal, 0);
+        queue.fail(
+            &job,
+            0,
+            BTreeSet::from([Check::Room]),
+            order,
+            Millis(0),
+            &mut rng,
+        );
+        queue.tick(Millis(29_999));
+        assert!(queue.pop().is_none());
+        queue.tick(Millis(30_000));
+        assert!(queue.pop().is_some());
+    }
+}
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,117 @@
+//! The state service: its calls and answers, and the actor that makes them within the budget.
+
+pub mod budget;
+mod client;
+pub mod wire;
+
+pub use client::{Store, StoreAnswer};
+
+use serde_json::value::RawValue;
+
+use crate::types::{Permit, Revision};
+
+/// The order in which calls are made when the budget is short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Class {
+    Leases,
+    Jobs,
+    Rest,
+}
+
+#[derive(Clone, Debug)]
+pub enum Change {
+    Put {
+        key: String,
+        data: String,
+        permit: Option<Permit>,
+    },
+    Drop {
+        key: String,
+    },
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Txn {
+    /// Keys with the version each must have; zero: it must not exist.
+    pub conditions: Vec<(String, Revision)>,
+    pub changes: Vec<Change>,
+}
+
+impl Txn {
+    pub fn require(&mut self, key: String, version: Revision) {
+        if !self.conditions.iter().any(|(k, _)| *k == key) {
+            self.conditions.push((key, version));
+        }
+    }
+
+    pub fn put(&mut self, key: String, data: String) {
+        self.changes.push(Change::Put {
+            key,
+            data,
+            permit: None,
+        });
+    }
+
+    pub fn put_leased(&mut self, key: String, data: String, permit: Permit) {
+        self.changes.push(Change::Put {
+            key,
+            data,
+            permit: Some(permit),
+        });
+    }
+
+    pub fn drop_key(&mut self, key: String) {
+        self.changes.push(Change::Drop { key });
+    }
+}
+
+#[derive(Clone, Debug)]
+pub enum Call {
+    Grant { life_ms: u64 },
+    Renew(Permit),
+    End(Permit),
+    Txn(Txn),
+    ReadRevision,
+    List { after: Option<String> },
+    Follow { from: Revision, wait_ms: u64 },
+}
+
+#[derive(Debug)]
+pub struct Entry {
+    pub key: String,
+    pub data: Box<RawValue>,
+    pub version: Revision,
+}
+
+#[derive(Debug)]
+pub enum Update {
+    Put(Entry),
+    Dropped { key: String, version: Revision },
+}
+
+#[derive(Debug)]
+pub enum Answer {
+    Granted(Permit),
+    Renewed,
+    Ended,
+    /// The lease is over.
+    NoLease,
+    Committed(Revision),
+    Conflict(Revision),
+    Revision(Revision),
+    Page {
+        entries: Vec<Entry>,
+        more: bool,
+        revision: Revision,
+    },
+    Updates {
+        updates: Vec<Update>,
+        revision: Revision,
+    },
+    /// The watch asked for changes that are no longer kept.
+    TooOld,
+    /// Not executed.
+    Refused,
+    /// Executed, or not, or yet to be.
+    Unknown,
+}
--- /dev/null
+++ b/src/store/wire.rs
@@ -0,0 +1,161 @@
+//! What the state service's JSON looks like.
+
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+use super::{Change, Entry, Txn, Update};
+use crate::types::{Permit, Revision};
+
+#[derive(Serialize)]
+pub struct GrantBody {
+    #[serde(rename = "lifeMs")]
+    pub life_ms: u64,
+}
+
+#[derive(Deserialize)]
+pub struct Granted {
+    pub permit: Permit,
+}
+
+#[derive(Deserialize)]
+pub struct Ledger {
+    pub ledger: Revision,
+}
+
+#[derive(Deserialize)]
+pub struct Listing {
+    #[serde(default)]
+    pub entries: Vec<Item>,
+    #[serde(default)]
+    pub truncated: bool,
+    pub ledger: Revision,
+}
+
+#[derive(Deserialize)]
+pub struct Item {
+    pub key: String,
+    pub data: Box<RawValue>,
+    pub stamp: Revision,
+}
+
+#[derive(Deserialize)]
+pub struct News {
+    pub ledger: Revision,
+    #[serde(default)]
+    pub news: Vec<NewsItem>,
+}
+
+/// Either `put` with `data`, or `drop`.
+#[derive(Deserialize)]
+pub struct NewsItem {
+    put: Option<String>,
+    data: Option<Box<RawValue>>,
+    drop: Option<String>,
+    stamp: Revision,
+}
+
+impl From<Item> for Entry {
+    fn from(item: Item) -> Self {
+        Self {
+            key: item.key,
+            data: item.data,
+            version: item.stamp,
+        }
+    }
+}
+
+impl NewsItem {
+    pub fn update(self) -> Option<Update> {
+        let version = self.stamp;
+        match (self.put, self.data, self.drop) {
+            (Some(key), Some(data), _) => Some(Update::Put(Entry { key, data, version })),
+            (_, _, Some(key)) => Some(Update::Dropped { key, version }),
+            _ => None,
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Condition<'a> {
+    key: &'a str,
+    stamp: Revision,
+}
+
+#[derive(Serialize)]
+#[serde(untagged)]
+enum Op<'a> {
+    Put {
+        put: &'a str,
+        data: &'a RawValue,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        permit: Option<Permit>,
+    },
+    Drop {
+        drop: &'a str,
+    },
+}
+
+#[derive(Serialize)]
+struct TxnBody<'a> {
+    #[serde(rename = "if")]
+    conditions: Vec<Condition<'a>>,
+    then: Vec<Op<'a>>,
+}
+
+pub fn txn_body(txn: &Txn) -> serde_json::Result<Vec<u8>> {
+    let conditions = txn
+        .conditions
+        .iter()
+        .map(|(key, stamp)| Condition { key, stamp: *stamp })
+        .collect();
+    let then = txn
+        .changes
+        .iter()
+        .map(|change| {
+            Ok(match change {
+                Change::Put { key, data, permit } => Op::Put {
+                    put: key,
+                    data: serde_json::from_str(data)?,
+                    permit: *permit,
+                },
+                Change::Drop { key } => Op::Drop { drop: key },
+            })
+        })
+        .collect::<serde_json::Result<_>>()?;
+    serde_json::to_vec(&TxnBody { conditions, then })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn watched_changes_are_read() {
+        let text = r#"{"ledger":433,"news":[{"put":"c/9","data":{"a":[1]},"stamp":433},
+            {"drop":"c/d","stamp":432},{"stamp":1}]}"#;
+        let news: News = serde_json::from_str(text).unwrap();
+        let shown: Vec<String> = news
+            .news
+            .into_iter()
+            .filter_map(NewsItem::update)
+            .map(|update| match update {
+                Update::Put(e) => format!("{}={}@{}", e.key, e.data.get(), e.version.0),
+                Update::Dropped { key, version } => format!("-{key}@{}", version.0),
+            })
+            .collect();
+        assert_eq!(shown, ["c/9={\"a\":[1]}@433", "-c/d@432"]);
+    }
+
+    #[test]
+    fn transactions_are_written_as_the_protocol_has_them() {
+        let mut txn = Txn::default();
+        txn.require("a/b".into(), Revision(0));
+        txn.put_leased("a/b".into(), "{\"x\":1}".into(), Permit(7));
+        txn.drop_key("c/d".into());
+        let text = String::from_utf8(txn_body(&txn).unwrap()).unwrap();
+        assert_eq!(
+            text,
+            r#"{"if":[{"key":"a/b","stamp":0}],"then":[{"put":"a/b","data":{"x":1},"permit":7},{"drop":"c/d"}]}"#
+        );
+    }
+}
--- /dev/null
+++ b/src/types.rs
@@ -0,0 +1,273 @@
+//! Small types for ids, versions and times, shared by every slice.
+
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+        impl From<String> for $name {
+            fn from(text: String) -> Self {
+                Self(text.into())
+            }
+        }
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(text.into())
+            }
+        }
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.0.to_string()
+            }
+        }
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name_type!(
+    /// A job's id as its user chose it, such as `job-000412`.
+    JobId
+);
+name_type!(
+    /// A machine's name in the cloud, such as `vm-000231`.
+    HostId
+);
+name_type!(
+    /// The label of a controller.
+    NodeId
+);
+name_type!(
+    /// A zone.
+    Zone
+);
+name_type!(
+    /// A machine type.
+    Sku
+);
+name_type!(
+    /// A team.
+    Team
+);
+name_type!(
+    /// An image.
+    Image
+);
+
+impl JobId {
+    /// The form every id has: `job-` and one to eighteen digits.
+    pub fn well_formed(text: &str) -> bool {
+        text.strip_prefix("job-").is_some_and(|digits| {
+            (1..=18).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_digit())
+        })
+    }
+}
+
+macro_rules! number_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+    };
+}
+
+number_type!(
+    /// A revision of the state service; the version of a key is the revision of its last change.
+    Revision
+);
+number_type!(
+    /// What entitles a holder to command a machine: the revision at which its block was taken.
+    Token
+);
+number_type!(
+    /// A lease of the state service.
+    Permit
+);
+number_type!(
+    /// One start of a task; shared by all tasks of a gang that start together.
+    Attempt
+);
+number_type!(
+    /// A worker's session.
+    Session
+);
+number_type!(
+    /// Names a request whose answer is still owed.
+    ReplyId
+);
+number_type!(
+    /// Names a transaction in flight.
+    TxnId
+);
+
+/// Milliseconds of this process's steady clock.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    pub fn from_secs(seconds: f64) -> Self {
+        Self((seconds.max(0.0) * 1000.0) as u64)
+    }
+
+    /// Time since `earlier`, or zero.
+    pub fn since(self, earlier: Millis) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0))
+    }
+
+    pub fn secs(self) -> f64 {
+        self.0 as f64 / 1000.0
+    }
+}
+
+impl Add for Millis {
+    type Output = Millis;
+    fn add(self, other: Millis) -> Millis {
+        Millis(self.0 + other.0)
+    }
+}
+
+impl Sub for Millis {
+    type Output = Millis;
+    fn sub(self, other: Millis) -> Millis {
+        self.since(other)
+    }
+}
+
+/// One task of a job, written `job-000412/3` on the wire.
+#[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TaskId {
+    pub job: JobId,
+    pub index: u32,
+}
+
+impl TaskId {
+    pub fn parse(text: &str) -> Option<Self> {
+        let (job, index) = text.rsplit_once('/')?;
+        JobId::well_formed(job).then_some(())?;
+        Some(Self {
+            job: job.into(),
+            index: index.parse().ok()?,
+        })
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+impl fmt::Debug for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+/// A block of machines: a part of one zone that one controller at a time places in.
+#[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct BlockId {
+    pub zone: Zone,
+    pub part: u32,
+}
+
+impl BlockId {
+    pub fn parse(text: &str) -> Option<Self> {
+        let (zone, part) = text.rsplit_once('.')?;
+        Some(Self {
+            zone: zone.into(),
+            part: part.parse().ok()?,
+        })
+    }
+}
+
+impl fmt::Display for BlockId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.zone, self.part)
+    }
+}
+
+impl fmt::Debug for BlockId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+/// What a task takes of a machine, or what a machine has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Room {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+/// Sums of decimal amounts are compared with this much slack.
+const SLACK: f64 = 1e-6;
+
+impl Room {
+    pub fn fits_in(self, free: Room) -> bool {
+        self.cpus <= free.cpus + SLACK
+            && self.gpus <= free.gpus + SLACK
+            && self.memory_gb <= free.memory_gb + SLACK
+    }
+
+    pub fn plus(self, other: Room) -> Room {
+        Room {
+            cpus: self.cpus + other.cpus,
+            gpus: self.gpus + other.gpus,
+            memory_gb: self.memory_gb + other.memory_gb,
+        }
+    }
+
+    pub fn minus(self, other: Room) -> Room {
+        Room {
+            cpus: self.cpus - other.cpus,
+            gpus: self.gpus - other.gpus,
+            memory_gb: self.memory_gb - other.memory_gb,
+        }
+    }
+
+    pub fn times(self, count: f64) -> Room {
+        Room {
+            cpus: self.cpus * count,
+            gpus: self.gpus * count,
+            memory_gb: self.memory_gb * count,
+        }
+    }
+
+    /// The largest share that this takes of any resource of `whole`.
+    pub fn share_of(self, whole: Room) -> f64 {
+        [
+            (self.cpus, whole.cpus),
+            (self.gpus, whole.gpus),
+            (self.memory_gb, whole.memory_gb),
+        ]
+        .into_iter()
+        .filter(|(_, have)| *have > 0.0)
+        .map(|(take, have)| take / have)
+        .fold(0.0, f64::max)
+    }
+}
--- /dev/null
+++ b/src/workers/mod.rs
@@ -0,0 +1,138 @@
+//! Workers: what they report, what they are told, and the evidence of where a task is.
+
+pub mod reconcile;
+pub mod wire;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use crate::types::{
+    Attempt, BlockId, HostId, Image, JobId, Millis, NodeId, Session, Sku, TaskId, Token, Zone,
+};
+use wire::{Cause, Report, TaskStage};
+
+/// A task as its machine reported it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Seen {
+    pub attempt: Attempt,
+    pub stage: TaskStage,
+    pub cause: Option<Cause>,
+}
+
+/// A machine as this controller knows it, from its worker's reports or from another controller.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    pub host: HostId,
+    pub rig: Sku,
+    pub zone: Zone,
+    pub spot: bool,
+    pub block: BlockId,
+    pub session: Session,
+    pub tally: u64,
+    /// The token that the worker had seen when it last reported to us.
+    pub baton: Token,
+    /// When the last report was received that we answered under a token of ours, and that token.
+    pub answered: Option<(Token, Millis)>,
+    /// When anybody last heard from the worker.
+    pub heard: Millis,
+    /// Who heard.
+    pub heard_by: NodeId,
+    pub tasks: BTreeMap<TaskId, Seen>,
+    pub warned: bool,
+    /// Jobs whose tasks failed here since the last success.
+    pub failed: BTreeSet<JobId>,
+    pub sick: bool,
+    /// The leader wants to return it.
+    pub draining: bool,
+    /// A start was refused for room: no more until then.
+    pub refused_until: Millis,
+    /// Images in the cache, by last use.
+    pub images: HashMap<Image, Millis>,
+}
+
+/// A machine is sick once tasks of this many jobs failed on it in a row.
+const SICK_AFTER: usize = 2;
+
+impl Machine {
+    pub fn new(host: HostId, rig: Sku, zone: Zone, spot: bool, block: BlockId, by: NodeId) -> Self {
+        Self {
+            host,
+            rig,
+            zone,
+            spot,
+            block,
+            session: Session(0),
+            tally: 0,
+            baton: Token(0),
+            answered: None,
+            heard: Millis(0),
+            heard_by: by,
+            tasks: BTreeMap::new(),
+            warned: false,
+            failed: BTreeSet::new(),
+            sick: false,
+            draining: false,
+            refused_until: Millis(0),
+            images: HashMap::new(),
+        }
+    }
+
+    /// Whether the report is newer than what is known. A late one is not: its list is old.
+    pub fn newer(&self, session: Session, tally: u64) -> bool {
+        (session, tally) > (self.session, self.tally)
+    }
+
+    /// Takes in a report that is known to be newer.
+    pub fn take_in(&mut self, report: &Report, now: Millis, by: &NodeId) {
+        self.session = report.shift;
+        self.tally = report.tally;
+        self.baton = report.baton;
+        self.heard = now;
+        self.heard_by = by.clone();
+        self.warned = report.warning_s.is_some();
+        self.tasks = report
+            .picks
+            .iter()
+            .filter_map(|pick| {
+                let seen = Seen {
+                    attempt: pick.attempt,
+                    stage: pick.stage,
+                    cause: pick.cause,
+                };
+                Some((TaskId::parse(&pick.pick)?, seen))
+            })
+            .collect();
+    }
+
+    /// Fit for new tasks, as far as its own condition goes.
+    pub fn fit(&self, now: Millis, silence: Millis) -> bool {
+        !self.warned
+            && !self.sick
+            && !self.draining
+            && now >= self.refused_until
+            && now.since(self.heard) <= silence
+    }
+
+    pub fn note_failure(&mut self, job: &JobId) {
+        self.failed.insert(job.clone());
+        self.sick = self.failed.len() >= SICK_AFTER;
+    }
+
+    pub fn note_success(&mut self) {
+        self.failed.clear();
+        self.sick = false;
+    }
+}
+
+/// Which block of its zone a machine belongs to: fixed by its name, so that all agree.
+pub fn block_of(host: &HostId, zone: &Zone, parts: u32) -> BlockId {
+    let digits: String = host.as_str().chars().filter(char::is_ascii_digit).collect();
+    let number: u64 = digits.parse().unwrap_or_else(|_| {
+        host.as_str().bytes().fold(0u64, |sum, b| {
+            sum.wrapping_mul(31).wrapping_add(u64::from(b))
+        })
+    });
+    BlockId {
+        zone: zone.clone(),
+        part: (number % u64::from(parts.max(1))) as u32,
+    }
+}
--- /dev/null
+++ b/src/workers/wire.rs
@@ -0,0 +1,194 @@
+//! What workers send and get.
+
+use serde::{Deserialize, Serialize};
+
+use crate::types::{Attempt, HostId, NodeId, Session, Sku, TaskId, Token, Zone};
+
+/// A worker's report may list this many bytes of tasks at the most.
+pub const LARGEST_REPORT: u64 = 1 << 20;
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Report {
+    pub host: HostId,
+    #[serde(default)]
+    pub address: String,
+    pub rig: Sku,
+    pub yard: Zone,
+    pub loaners: bool,
+    pub shift: Session,
+    pub tally: u64,
+    pub baton: Token,
+    #[serde(rename = "warningS", default)]
+    pub warning_s: Option<f64>,
+    #[serde(default)]
+    pub picks: Vec<Pick>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Pick {
+    pub pick: String,
+    #[serde(rename = "try")]
+    pub attempt: Attempt,
+    pub stage: TaskStage,
+    #[serde(default)]
+    pub cause: Option<Cause>,
+    #[serde(default)]
+    pub kept: Option<bool>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TaskStage {
+    #[serde(rename = "pulling")]
+    Fetching,
+    #[serde(rename = "gathering")]
+    Waiting,
+    Running,
+    Saving,
+    #[serde(rename = "ended")]
+    Exited,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    Done,
+    Stopped,
+    #[serde(rename = "mates_gone")]
+    PeersGone,
+    Alone,
+    Error,
+    NoRoom,
+    #[serde(rename = "in_use")]
+    Busy,
+    #[serde(rename = "no_such")]
+    Unknown,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    Start {
+        task: TaskId,
+        attempt: Attempt,
+    },
+    Stop {
+        task: TaskId,
+        attempt: Attempt,
+        grace_s: f64,
+    },
+    Forget {
+        task: TaskId,
+        attempt: Attempt,
+    },
+}
+
+#[derive(Serialize)]
+#[serde(tag = "verb", rename_all = "snake_case")]
+enum OrderBody {
+    Start {
+        pick: String,
+        #[serde(rename = "try")]
+        attempt: Attempt,
+    },
+    Kill {
+        pick: String,
+        #[serde(rename = "try")]
+        attempt: Attempt,
+        #[serde(rename = "windDownS")]
+        grace_s: f64,
+    },
+    Reap {
+        pick: String,
+        #[serde(rename = "try")]
+        attempt: Attempt,
+    },
+}
+
+impl Serialize for Order {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let body = match self {
+            Order::Start { task, attempt } => OrderBody::Start {
+                pick: task.to_string(),
+                attempt: *attempt,
+            },
+            Order::Stop {
+                task,
+                attempt,
+                grace_s,
+            } => OrderBody::Kill {
+                pick: task.to_string(),
+                attempt: *attempt,
+                grace_s: *grace_s,
+            },
+            Order::Forget { task, attempt } => OrderBody::Reap {
+                pick: task.to_string(),
+                attempt: *attempt,
+            },
+        };
+        body.serialize(serializer)
+    }
+}
+
+/// The answer to a report.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ReportAnswer {
+    Orders {
+        token: Token,
+        orders: Vec<Order>,
+    },
+    /// 421: report to that controller, or to the next.
+    Elsewhere(Option<NodeId>),
+    /// 503: nobody is known to be entitled.
+    Later,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn orders_are_written_as_the_protocol_has_them() {
+        let task = TaskId::parse("job-000412/4").unwrap();
+        let attempt = Attempt(2);
+        let cases = [
+            (
+                Order::Start {
+                    task: task.clone(),
+                    attempt,
+                },
+                r#"{"verb":"start","pick":"job-000412/4","try":2}"#,
+            ),
+            (
+                Order::Stop {
+                    task: task.clone(),
+                    attempt,
+                    grace_s: 10.0,
+                },
+                r#"{"verb":"kill","pick":"job-000412/4","try":2,"windDownS":10.0}"#,
+            ),
+            (
+                Order::Forget { task, attempt },
+                r#"{"verb":"reap","pick":"job-000412/4","try":2}"#,
+            ),
+        ];
+        for (order, text) in cases {
+            assert_eq!(serde_json::to_string(&order).unwrap(), text);
+        }
+    }
+
+    #[test]
+    fn nonsense_from_a_worker_is_refused() {
+        let good = r#"{"host":"vm-1","address":"a","rig":"g8","yard":"a","loaners":true,"shift":1,
+            "tally":88,"baton":41,"warningS":null,"picks":[{"pick":"job-1/3","try":2,
+            "stage":"ended","cause":"in_use"}]}"#;
+        assert!(serde_json::from_str::<Report>(good).is_ok());
+        for (from, to) in [
+            ("\"shift\":1", "\"shift\":-1"),
+            ("ended", "odd"),
+            ("vm-1\"", "vm-1"),
+        ] {
+            let text = good.replace(from, to);
+            assert!(serde_json::from_str::<Report>(&text).is_err(), "{text}");
+        }
+    }
+}
