Send starts and stops directly, and preempt work that can save

Cause: gangs waited for a machine to boot while arrays filled the spare ones; starts waited half a report interval for the next answer. Excluded: image fetches, which are shorter than the boot.

Change: starts and stops go to /do once they are committed; a start left without an answer keeps its task tied to the machine. The post-filter stops lower work that can save, and the fleet counts such room as ready.

--- a/src/controller/committing.rs
+++ b/src/controller/committing.rs
@@ -1,6 +1,8 @@
 //! How changes of tasks reach the state service: one transaction at a time per job, conditioned
 //! on all that the decision rested on.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use super::{After, Controller, Purpose};
 use crate::jobs::cache::{Change, Evidence, Writing};
 use crate::jobs::record::{JobRecord, encode_page, job_key, page_key};
@@ -8,7 +10,7 @@
 use crate::lease::block_key;
 use crate::quota;
 use crate::store::{Answer, Class, Txn};
-use crate::types::{JobId, Revision};
+use crate::types::{HostId, JobId, Revision};
 
 /// Pages of one transaction: with 8 KiB each they stay below 64 KiB.
 const MOST_PAGES: usize = 6;
@@ -23,7 +25,7 @@
         let ops = self.settings.deployment.state.txn_ops;
         let mut txn = Txn::default();
         txn.require(job_key(id), job.version);
-        let mut pages: std::collections::BTreeMap<u32, Vec<Task>> = Default::default();
+        let mut pages: BTreeMap<u32, Vec<Task>> = BTreeMap::new();
         let mut changes = Vec::new();
         let mut stale = Vec::new();
         let mut places = false;
@@ -128,6 +130,16 @@
                 }
                 self.commit(&id);
                 self.consider(&id);
+                let hosts: BTreeSet<HostId> = changes
+                    .into_iter()
+                    .filter_map(|(_, change)| match change {
+                        Change::Place(placement) => Some(placement.host),
+                        _ => None,
+                    })
+                    .collect();
+                for host in hosts {
+                    self.poke(&host);
+                }
             }
             Answer::Conflict(revision) => {
                 tracing::debug!(job = %id, "changes were overtaken");
--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -254,6 +254,7 @@
                 } else {
                     flavor.room
                 },
+                soft: self.soft(host),
                 idle_for: rented.idle.map_or(Millis(0), |since| self.now.since(since)),
             });
         }
@@ -265,6 +266,7 @@
                     offer: offer.clone(),
                     whole: flavor.room,
                     free: flavor.room,
+                    soft: Room::default(),
                     idle_for: Millis(0),
                 }));
             }
@@ -315,6 +317,15 @@
         self.delete(ready);
     }
 
+    /// Room on a machine held by tasks that save their work when urgent work needs it.
+    fn soft(&self, host: &HostId) -> Room {
+        self.jobs
+            .on_host(host)
+            .filter_map(|(id, _)| self.jobs.get(id))
+            .filter(|job| job.spec.rank < Rank::Urgent && job.spec.checkpoint_s > 0.0)
+            .fold(Room::default(), |sum, job| sum.plus(job.spec.room))
+    }
+
     /// Whole machines that should stand ready: what urgent work asks for while one boots.
     fn headroom(&self) -> Option<Headroom> {
         let flavor = self
--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -1,12 +1,14 @@
 //! This controller's lease, leadership, the blocks, and the watch that feeds the cache.
 
+use std::collections::BTreeSet;
+
 use super::{After, Controller, Purpose};
 use crate::jobs::cache::{Jobs, Touched};
 use crate::lease::{self, BlockRecord, LEADER, LeaderRecord, Moved, NodeRecord, Own};
 use crate::queue::{self, Queue};
 use crate::quota;
 use crate::store::{Answer, Call, Class, Txn, Update};
-use crate::types::{JobId, Millis, Revision, Team, Token};
+use crate::types::{HostId, JobId, Millis, Revision, Team, Token};
 
 /// A watch waits this long for changes.
 const WATCH_MS: u64 = 10_000;
@@ -361,6 +363,15 @@
             self.consider(&id);
         }
         let team = self.jobs.get(&id).map(|job| job.spec.team.clone());
+        let unwanted: BTreeSet<HostId> = self
+            .jobs
+            .get(&id)
+            .filter(|job| !job.active())
+            .map(|job| job.placements().map(|(_, p)| p.host.clone()).collect())
+            .unwrap_or_default();
+        for host in unwanted {
+            self.poke(&host);
+        }
         for host in touched.freed {
             self.wake(queue::Event::Freed(host));
             self.wake(queue::Event::TaskLeft(id.clone()));
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -10,6 +10,7 @@
 mod users;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use rand::SeedableRng;
@@ -24,10 +25,16 @@
 use crate::queue::Queue;
 use crate::settings::Settings;
 use crate::store::{Answer, Call, Class, Txn};
-use crate::types::{HostId, JobId, Millis, NodeId, ReplyId, Revision, Team};
+use crate::types::{HostId, JobId, Millis, NodeId, ReplyId, Revision, Room, Session, Team, Token};
 use crate::workers::Machine;
 use crate::workers::reconcile::Stops;
-use crate::workers::wire::{Report, ReportAnswer};
+use crate::workers::wire::{Order, Report, ReportAnswer};
+
+/// A worker's answer to orders that were sent to it directly: its report after them, or what it
+/// refused them with.
+pub struct DirectAnswer {
+    pub report: Option<Report>,
+}
 
 pub enum Event {
     /// Time passes; several times a second.
@@ -63,10 +70,23 @@
     Ready {
         reply: ReplyId,
     },
+    /// What came of orders sent directly; none: no answer.
+    Direct {
+        host: HostId,
+        answer: Option<DirectAnswer>,
+    },
 }
 
 #[derive(Debug)]
 pub enum Effect {
+    /// Orders that do not wait for the worker's next report.
+    Direct {
+        host: HostId,
+        address: SocketAddr,
+        token: Token,
+        session: Session,
+        orders: Vec<Order>,
+    },
     Store {
         tag: u64,
         class: Class,
@@ -157,6 +177,14 @@
     waiting: Vec<(Revision, After)>,
 }
 
+/// Room that is being made for a job: nobody of lower order takes it.
+#[derive(Clone, Debug)]
+struct Nomination {
+    host: HostId,
+    room: Room,
+    until: Millis,
+}
+
 /// What another controller said last.
 #[derive(Debug)]
 struct PeerState {
@@ -201,6 +229,9 @@
     handed: HashSet<JobId>,
     machines: BTreeMap<HostId, Machine>,
     stops: Stops,
+    nominations: HashMap<JobId, Nomination>,
+    /// Jobs that the leader wants room made for in our blocks.
+    to_preempt: HashSet<JobId>,
     /// Jobs whose last task failed.
     failed_jobs: HashSet<JobId>,
     swept: Millis,
@@ -254,6 +285,8 @@
             handed: HashSet::new(),
             machines: BTreeMap::new(),
             stops: Stops::new(),
+            nominations: HashMap::new(),
+            to_preempt: HashSet::new(),
             failed_jobs: HashSet::new(),
             swept: Millis(0),
             drains: HashSet::new(),
@@ -282,6 +315,7 @@
             Event::Submit { reply, submission } => self.on_submit(reply, submission),
             Event::Poll { reply, job } => self.on_poll(reply, job),
             Event::Abort { reply, job } => self.on_abort(reply, job),
+            Event::Direct { host, answer } => self.on_direct(&host, answer),
             Event::Ready { reply } => {
                 let ready = self.ready();
                 self.effects.push(Effect::Ready { reply, ready });
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -3,18 +3,21 @@
 
 use std::collections::BTreeSet;
 
-use super::{Controller, Effect};
+use super::{Controller, Effect, Nomination};
 use crate::cycle::{self, Candidate};
 use crate::jobs::cache::{Change, Job, Writing};
 use crate::jobs::{Placement, Shape};
 use crate::peers::{MachineView, Message, Status};
+use crate::preempt::{self, Site, Victim};
 use crate::queue::{Check, Event, Order};
 use crate::quota;
-use crate::types::{Attempt, HostId, JobId, Millis, NodeId, Revision, Room, Session, Zone};
+use crate::types::{Attempt, HostId, JobId, Millis, NodeId, Revision, Room, Session, TaskId, Zone};
 use crate::workers::{Machine, block_of};
 
 /// Cycles in one go, so that other events are not kept waiting.
 const MOST_CYCLES: usize = 64;
+/// Room is kept this long for the job that it was made for.
+const NOMINATED: Millis = Millis(20_000);
 const STATUS_EVERY: Millis = Millis(1_000);
 /// What the leader wants emptied is kept so for this long after it was last heard.
 const DRAIN_HOLDS: Millis = Millis(15_000);
@@ -114,7 +117,7 @@
             && !self.fleet.gone.contains(&machine.host)
     }
 
-    fn candidates(&self, own: bool, zone: Option<&Zone>) -> Vec<Candidate<'_>> {
+    fn candidates(&self, id: &JobId, own: bool, zone: Option<&Zone>) -> Vec<Candidate<'_>> {
         self.machines
             .values()
             .filter(|m| if own { self.ours(m) } else { self.others(m) })
@@ -122,7 +125,7 @@
             .map(|machine| Candidate {
                 machine,
                 whole: self.whole(machine),
-                free: self.free(machine),
+                free: self.free_for(machine, id),
             })
             .collect()
     }
@@ -149,6 +152,7 @@
         let order = self.order(job);
         match self.place(id) {
             Ok(()) => {
+                self.nominations.remove(id);
                 self.commit(id);
                 if let Some(job) = self.jobs.get(id)
                     && job.waiting() > 0
@@ -164,23 +168,31 @@
 
     /// No machine of ours will do.
     fn not_placed(&mut self, id: &JobId, fails: u32, checks: BTreeSet<Check>, order: Order) {
-        let Some(job) = self.jobs.get(id) else { return };
         let blocked = checks.contains(&Check::Team) || checks.contains(&Check::Attempt);
         let mut parked = checks;
-        if !blocked {
-            if self.leading().is_some() {
-                match cycle::choose(job, self.candidates(false, None).into_iter()) {
+        let nominated = self.nominations.get(id).is_some_and(|n| n.until > self.now);
+        if !blocked && !nominated {
+            let asked = self.to_preempt.remove(id);
+            if asked && self.preempt(id, false) {
+                // Its victims' ends wake it.
+            } else if self.leading().is_some() {
+                let Some(job) = self.jobs.get(id) else { return };
+                match cycle::choose(job, self.candidates(id, false, None).into_iter()) {
                     Ok(host) => {
                         let holder = self.machines.get(&host).map(|m| m.heard_by.clone());
                         if let Some(to) = holder {
                             let job = id.to_string();
-                            let message = Message::Place { job };
+                            let preempt = false;
+                            let message = Message::Place { job, preempt };
                             self.effects.push(Effect::Peer { to, message });
                         }
                         // Handed over: looked at again soon, in case it did not work.
                         parked.clear();
                     }
-                    Err(more) => parked.extend(more),
+                    Err(more) => {
+                        parked.extend(more);
+                        self.preempt(id, true);
+                    }
                 }
             } else if let Some(leader) = self.leader().cloned() {
                 let message = Message::Unplaced {
@@ -188,7 +200,11 @@
                 };
                 let to = leader;
                 self.effects.push(Effect::Peer { to, message });
-                if job.record.home != self.me {
+                if self
+                    .jobs
+                    .get(id)
+                    .is_none_or(|job| job.record.home != self.me)
+                {
                     self.handed.remove(id);
                     return;
                 }
@@ -252,7 +268,7 @@
         let Some(job) = self.jobs.get(id) else {
             return Ok(());
         };
-        let host = cycle::choose(job, self.candidates(true, zone).into_iter())?;
+        let host = cycle::choose(job, self.candidates(id, true, zone).into_iter())?;
         if let Some(machine) = self.machines.get(&host) {
             let placement = Placement {
                 host,
@@ -265,6 +281,136 @@
         Ok(())
     }
 
+    /// Whether a task may be stopped for the job.
+    fn may_stop(&self, job: &Job, guaranteed: bool, victim: &Job) -> bool {
+        if victim.spec.rank < job.spec.rank {
+            return true;
+        }
+        // Work beyond its team's guarantee gives way to another team's guarantee.
+        guaranteed
+            && victim.spec.team != job.spec.team
+            && self.settings.team(&victim.spec.team).is_some_and(|team| {
+                let left = self.jobs.usage(&team.name).minus(victim.spec.room);
+                !quota::guaranteed(left, team)
+            })
+    }
+
+    /// Seconds that stopping a task wastes: saving, or its work so far, and starting it again.
+    fn waste(&self, victim: &Job) -> f64 {
+        let whole = self.flavors.first().map(|f| f.room);
+        let share = victim.spec.room.share_of(whole.unwrap_or(victim.spec.room));
+        let lost = if victim.spec.checkpoint_s > 0.0 {
+            victim.spec.save_s + 5.0
+        } else {
+            victim.spec.estimate_s.max(120.0)
+        };
+        lost * share
+    }
+
+    /// Stops work of lower order on the machine where that wastes least, and keeps its room for
+    /// the job. A gang of several tasks waits for room instead. The leader looks at the whole
+    /// fleet and leaves the stopping to the machine's holder.
+    fn preempt(&mut self, id: &JobId, whole_fleet: bool) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        if job.spec.shape == Shape::Gang && job.record.tasks > 1 {
+            return false;
+        }
+        let guaranteed = !self.order(job).beyond_guarantee;
+        let sites = self
+            .machines
+            .values()
+            .filter(|m| self.ours(m) || whole_fleet && self.others(m))
+            .filter(|m| job.spec.allows(&m.rig, &m.zone, m.spot))
+            .filter(|m| cycle::zone_allowed(job, &m.zone))
+            .map(|machine| self.site(job, guaranteed, machine))
+            .collect();
+        let room = job.spec.room;
+        let Some((host, victims)) = preempt::choose(room, sites) else {
+            return false;
+        };
+        tracing::info!(job = %id, %host, ?victims, "making room");
+        let nomination = Nomination {
+            host: host.clone(),
+            room,
+            until: self.now + NOMINATED,
+        };
+        self.nominations.insert(id.clone(), nomination);
+        match self.machines.get(&host) {
+            Some(machine) if !self.ours(machine) => {
+                let to = machine.heard_by.clone();
+                let (job, preempt) = (id.to_string(), true);
+                let message = Message::Place { job, preempt };
+                self.effects.push(Effect::Peer { to, message });
+                return true;
+            }
+            _ => {}
+        }
+        for task in victims {
+            let attempt = self
+                .jobs
+                .get(&task.job)
+                .and_then(|job| job.task(task.index).placement())
+                .map(|placement| placement.attempt);
+            if let Some(attempt) = attempt {
+                self.stops.insert(task, attempt);
+            }
+        }
+        self.poke(&host);
+        true
+    }
+
+    /// What could be stopped on a machine for the job.
+    fn site(&self, job: &Job, guaranteed: bool, machine: &Machine) -> Site {
+        let victim = |(id, index): &(JobId, u32)| {
+            let task = TaskId {
+                job: id.clone(),
+                index: *index,
+            };
+            let victim = self.jobs.get(id)?;
+            let whole = victim.spec.shape != Shape::Gang || victim.record.tasks == 1;
+            let leaving = self.stops.contains_key(&task) || !victim.active();
+            (leaving || whole && self.may_stop(job, guaranteed, victim)).then(|| Victim {
+                task,
+                room: victim.spec.room,
+                rank: victim.spec.rank,
+                waste_s: self.waste(victim),
+                leaving,
+            })
+        };
+        let flavor = self.flavors.iter().find(|f| f.sku == machine.rig);
+        let fetch_s = flavor.map_or(0.0, |f| job.spec.image_gb / f.fetch_gb_per_s.max(0.01));
+        let cached = machine.images.contains_key(&job.spec.image);
+        Site {
+            host: machine.host.clone(),
+            free: self.free_for(machine, &job.id),
+            victims: self
+                .jobs
+                .on_host(&machine.host)
+                .filter_map(victim)
+                .collect(),
+            delay_s: if cached { 0.0 } else { fetch_s },
+        }
+    }
+
+    /// Free room, without what is being made for others of no lower priority.
+    fn free_for(&self, machine: &Machine, id: &JobId) -> Room {
+        let rank = self.jobs.get(id).map(|job| job.spec.rank);
+        self.nominations
+            .iter()
+            .filter(|(other, n)| {
+                n.host == machine.host
+                    && *other != id
+                    && n.until > self.now
+                    && self
+                        .jobs
+                        .get(other)
+                        .is_some_and(|job| rank <= Some(job.spec.rank))
+            })
+            .fold(self.free(machine), |free, (_, n)| free.minus(n.room))
+    }
+
     /// Tells the parked jobs of a change in the cluster.
     pub(super) fn wake(&mut self, event: Event) {
         let machine = match &event {
@@ -298,7 +444,13 @@
                     self.take_over(&JobId::from(job));
                 }
             }
-            Message::Place { job } => self.take_over(&JobId::from(job)),
+            Message::Place { job, preempt } => {
+                let job = JobId::from(job);
+                if preempt {
+                    self.to_preempt.insert(job.clone());
+                }
+                self.take_over(&job);
+            }
             Message::Status(status) => self.on_status(from, status),
         }
     }
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -1,12 +1,12 @@
 //! Workers' reports: who answers them, and what they prove.
 
-use super::{Controller, Effect};
+use super::{Controller, DirectAnswer, Effect};
 use crate::jobs::Shape;
 use crate::jobs::cache::{Change, Evidence};
 use crate::queue;
 use crate::types::{HostId, JobId, Millis, ReplyId, TaskId, Token};
 use crate::workers::reconcile::reconcile;
-use crate::workers::wire::{Cause, Report, ReportAnswer, TaskStage};
+use crate::workers::wire::{Cause, Order, Report, ReportAnswer, TaskStage};
 use crate::workers::{Machine, block_of};
 
 /// A start that was refused for room shows that the machine holds more than we know.
@@ -58,20 +58,20 @@
                 me.clone(),
             )
         });
+        // Whatever its age, the worker's lease may be renewed by this answer.
+        machine.answered = Some((token, now));
         if !machine.newer(report.shift, report.tally) {
             return none;
         }
         let was_fit = machine.fit(now, silence) && machine.baton >= token;
         machine.take_in(&report, now, &me);
-        machine.answered = Some((token, now));
         if machine.baton < token {
             // Its first report to us: it sees our token in the answer and reports again at once.
             return none;
         }
+        machine.direct.enter(token, machine.session);
         let fit = machine.fit(now, silence);
         let host = report.host;
-        self.note_images(&host);
-        self.drain_warned(&host);
         if fit && !was_fit {
             self.wake(queue::Event::Machine(host.clone()));
         }
@@ -79,8 +79,88 @@
         ReportAnswer::Orders { token, orders }
     }
 
+    /// Sends a worker its starts and stops without waiting for its report. Only to one that was
+    /// heard just now: a start that stays without an answer ties the task to the machine.
+    pub(super) fn poke(&mut self, host: &HostId) {
+        let Some(machine) = self.machines.get(host) else {
+            return;
+        };
+        let Some(token) = self.token_for(&machine.block) else {
+            return;
+        };
+        let (Some(address), true) = (machine.address, machine.baton == token) else {
+            return;
+        };
+        let heard = machine.answered.is_some_and(|(under, _)| under == token)
+            && self.now.since(machine.heard) <= self.silence();
+        if !heard || !self.may_answer() {
+            return;
+        }
+        let mut orders = reconcile(machine, token, &self.jobs, &self.stops).orders;
+        orders.retain(|order| !matches!(order, Order::Forget { .. }));
+        let session = machine.session;
+        let Some(machine) = self.machines.get_mut(host) else {
+            return;
+        };
+        if orders.is_empty() || machine.direct.busy {
+            machine.direct.again |= !orders.is_empty();
+            return;
+        }
+        machine.direct.enter(token, session);
+        machine.direct.busy = true;
+        machine.direct.again = false;
+        let loose = &mut machine.direct.loose;
+        machine.direct.sent = orders
+            .iter()
+            .filter_map(|order| match order {
+                Order::Start { task, attempt } => Some((task.clone(), *attempt)),
+                _ => None,
+            })
+            // One that is loose already stays so, whatever becomes of this request.
+            .filter(|start| loose.insert(start.clone()))
+            .collect();
+        let host = host.clone();
+        self.effects.push(Effect::Direct {
+            host,
+            address,
+            token,
+            session,
+            orders,
+        });
+    }
+
+    pub(super) fn on_direct(&mut self, host: &HostId, answer: Option<DirectAnswer>) {
+        let (now, me) = (self.now, self.me.clone());
+        let Some(machine) = self.machines.get_mut(host) else {
+            return;
+        };
+        machine.direct.busy = false;
+        let again = std::mem::take(&mut machine.direct.again);
+        let sent = std::mem::take(&mut machine.direct.sent);
+        let Some(answer) = answer else { return };
+        for start in sent {
+            machine.direct.loose.remove(&start);
+        }
+        let block = machine.block.clone();
+        if let (Some(report), Some(token)) = (answer.report, self.token_for(&block))
+            && let Some(machine) = self.machines.get_mut(host)
+            && report.host == *host
+            && report.baton == token
+            && machine.newer(report.shift, report.tally)
+        {
+            machine.take_in(&report, now, &me);
+            machine.direct.enter(token, report.shift);
+            self.see_to(host, token);
+        }
+        if again {
+            self.poke(host);
+        }
+    }
+
     /// Compares a machine's newest report with the records.
-    fn see_to(&mut self, host: &HostId, token: Token) -> Vec<crate::workers::wire::Order> {
+    fn see_to(&mut self, host: &HostId, token: Token) -> Vec<Order> {
+        self.note_images(host);
+        self.drain_warned(host);
         let Some(machine) = self.machines.get(host) else {
             return Vec::new();
         };
@@ -216,6 +296,9 @@
                 .is_some_and(|placement| placement.attempt == *attempt)
         });
         let now = self.now;
+        self.nominations
+            .retain(|id, n| n.until > now && jobs.get(id).is_some_and(|job| job.active()));
+        self.to_preempt.retain(|id| jobs.get(id).is_some());
         self.machines
             .retain(|host, machine| now.since(machine.heard) < FORGET || jobs.busy(host));
         self.reconsider_all();
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -8,15 +8,17 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::clock::Clock;
-use crate::controller::{Controller, Effect, Event};
+use crate::controller::{Controller, DirectAnswer, Effect, Event};
 use crate::fleet::client::{Cloud, CloudReply};
+use crate::http_client::HttpClient;
 use crate::http_server;
 use crate::jobs::Spec;
 use crate::jobs::api::{Refusal, Response};
 use crate::peers::link::{PeerMessage, Peers};
 use crate::settings::Settings;
 use crate::store::{Store, StoreAnswer};
-use crate::types::{JobId, ReplyId};
+use crate::types::{HostId, JobId, ReplyId};
+use crate::workers::client;
 use crate::workers::wire::{Report, ReportAnswer};
 
 const TICK: Duration = Duration::from_millis(100);
@@ -59,6 +61,8 @@
     store: Store,
     cloud: Cloud,
     peers: Peers,
+    workers: HttpClient,
+    from_workers: mpsc::UnboundedSender<(HostId, Option<DirectAnswer>)>,
     owed: HashMap<ReplyId, Owed>,
     next_reply: u64,
 }
@@ -69,6 +73,7 @@
     let (store_answers, mut from_store) = mpsc::unbounded_channel::<StoreAnswer>();
     let (cloud_answers, mut from_cloud) = mpsc::unbounded_channel::<CloudReply>();
     let (peer_messages, mut from_peers) = mpsc::unbounded_channel::<PeerMessage>();
+    let (from_workers, mut direct_answers) = mpsc::unbounded_channel();
     let (inbox, mut requests) = mpsc::unbounded_channel::<Request>();
     let mut daemon = Daemon {
         controller: Controller::new(settings.clone(), rand::random()),
@@ -76,6 +81,8 @@
         store: Store::start(&settings, clock, store_answers),
         cloud: Cloud::start(&settings, clock, cloud_answers),
         peers: Peers::start(&settings, peer_messages),
+        workers: HttpClient::new(settings.public_addr),
+        from_workers,
         owed: HashMap::new(),
         next_reply: 0,
     };
@@ -95,6 +102,9 @@
             Some(PeerMessage { from, message }) = from_peers.recv() => {
                 daemon.handle(Event::Peer { from, message });
             }
+            Some((host, answer)) = direct_answers.recv() => {
+                daemon.handle(Event::Direct { host, answer });
+            }
             Some(request) = requests.recv() => daemon.request(request),
         }
     }
@@ -145,6 +155,19 @@
     fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::Store { tag, class, call } => self.store.send(tag, class, call),
+            Effect::Direct {
+                host,
+                address,
+                token,
+                session,
+                orders,
+            } => {
+                let (workers, answers) = (self.workers.clone(), self.from_workers.clone());
+                tokio::spawn(async move {
+                    let answer = client::send(workers, address, token, session, orders).await;
+                    let _ = answers.send((host, answer));
+                });
+            }
             Effect::Cloud { tag, call } => self.cloud.send(tag, call),
             Effect::Peer { to, message } => self.peers.send(&to, message),
             Effect::User { reply, response } => {
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -14,6 +14,8 @@
     pub offer: Offer,
     pub whole: Room,
     pub free: Room,
+    /// Room held by work that gives way to urgent work without much loss.
+    pub soft: Room,
     pub idle_for: Millis,
 }
 
@@ -21,6 +23,11 @@
     fn empty(&self) -> bool {
         self.free == self.whole
     }
+
+    /// Free, or free as soon as urgent work asks for it.
+    fn ready(&self) -> bool {
+        self.whole.fits_in(self.free.plus(self.soft))
+    }
 }
 
 /// Waiting tasks of one job.
@@ -117,6 +124,7 @@
             offer,
             whole,
             free: whole,
+            soft: Room::default(),
             idle_for: Millis(0),
         });
         true
@@ -139,7 +147,7 @@
     }
     let mut spare = headroom.as_ref().map_or(0, |h| h.machines);
     if let Some(headroom) = headroom {
-        let ready = |bin: &Bin| !bin.offer.2 && bin.empty() && headroom.room.fits_in(bin.whole);
+        let ready = |bin: &Bin| !bin.offer.2 && bin.ready() && headroom.room.fits_in(bin.whole);
         let there = bins.iter().filter(|b| ready(b)).count() as u32;
         for _ in there..headroom.machines {
             let ordinary = |o: &Offer| !o.2;
@@ -148,6 +156,8 @@
             }
         }
     }
+    let soft = |bin: &&Bin| !bin.offer.2 && bin.ready() && !bin.empty();
+    spare = spare.saturating_sub(bins.iter().filter(soft).count() as u32);
     let mut idle: Vec<&Bin> = bins
         .iter()
         .filter(|b| b.host.is_some() && b.empty())
@@ -206,6 +216,7 @@
             offer: ("g8".into(), "a".into(), spot),
             whole: room(8.0),
             free: room(free),
+            soft: Room::default(),
             idle_for: Millis(idle_s * 1000),
         }
     }
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -41,6 +41,14 @@
         Self { inner, base }
     }
 
+    /// The same client, for another address.
+    pub fn at(&self, address: SocketAddr) -> Self {
+        Self {
+            inner: self.inner.clone(),
+            base: format!("http://{address}"),
+        }
+    }
+
     pub async fn call(
         &self,
         method: http::Method,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod jobs;
 pub mod lease;
 pub mod peers;
+pub mod preempt;
 pub mod queue;
 pub mod quota;
 pub mod settings;
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -20,9 +20,10 @@
     Unplaced {
         job: String,
     },
-    /// From the leader: the receiver's blocks have room for this job.
+    /// From the leader: the receiver's blocks have room for this job, or can make it.
     Place {
         job: String,
+        preempt: bool,
     },
 }
 
--- /dev/null
+++ b/src/preempt.rs
@@ -0,0 +1,178 @@
+//! Preemption, the post-filter of the cycle: whom to stop so that a task finds room.
+
+use crate::jobs::Rank;
+use crate::types::{HostId, Room, TaskId};
+
+/// A task that may be stopped for another.
+#[derive(Clone, Debug)]
+pub struct Victim {
+    pub task: TaskId,
+    pub room: Room,
+    pub rank: Rank,
+    /// Seconds of its machine's time that stopping it wastes.
+    pub waste_s: f64,
+    /// It is being stopped already.
+    pub leaving: bool,
+}
+
+/// A machine on which room could be made.
+#[derive(Clone, Debug)]
+pub struct Site {
+    pub host: HostId,
+    pub free: Room,
+    pub victims: Vec<Victim>,
+    /// Seconds that the task would have to wait here besides, such as for its image.
+    pub delay_s: f64,
+}
+
+/// The machine where room for a task costs least, and whom to stop there. Tasks that are leaving
+/// already cost nothing.
+pub fn choose(room: Room, sites: Vec<Site>) -> Option<(HostId, Vec<TaskId>)> {
+    let mut best: Option<((Rank, f64), HostId, Vec<TaskId>)> = None;
+    for site in sites {
+        let Some((chosen, free)) = gather(room, &site) else {
+            continue;
+        };
+        let needed = spare(room, chosen, free);
+        let highest = needed
+            .iter()
+            .map(|v| v.rank)
+            .max()
+            .unwrap_or(Rank::BestEffort);
+        let waste: f64 = needed
+            .iter()
+            .filter(|v| !v.leaving)
+            .map(|v| v.waste_s)
+            .sum();
+        let cost = (highest, waste + site.delay_s);
+        if best
+            .as_ref()
+            .is_none_or(|(least, host, _)| cost < *least || (cost == *least && site.host < *host))
+        {
+            let tasks = needed
+                .into_iter()
+                .filter(|victim| !victim.leaving)
+                .map(|victim| victim.task.clone())
+                .collect();
+            best = Some((cost, site.host.clone(), tasks));
+        }
+    }
+    best.map(|(_, host, tasks)| (host, tasks))
+}
+
+/// Victims, the cheapest first, until the task fits.
+fn gather(room: Room, site: &Site) -> Option<(Vec<&Victim>, Room)> {
+    let mut order: Vec<&Victim> = site.victims.iter().collect();
+    order.sort_by(|a, b| {
+        let key = |v: &Victim| (!v.leaving, v.rank);
+        key(a)
+            .cmp(&key(b))
+            .then(a.waste_s.total_cmp(&b.waste_s))
+            .then(a.task.cmp(&b.task))
+    });
+    let mut free = site.free;
+    let mut chosen = Vec::new();
+    for victim in order {
+        if room.fits_in(free) {
+            break;
+        }
+        free = free.plus(victim.room);
+        chosen.push(victim);
+    }
+    room.fits_in(free).then_some((chosen, free))
+}
+
+/// Lets go of victims that turn out not to be needed, the dearest first.
+fn spare(room: Room, mut chosen: Vec<&Victim>, mut free: Room) -> Vec<&Victim> {
+    for index in (0..chosen.len()).rev() {
+        let without = free.minus(chosen[index].room);
+        if !chosen[index].leaving && room.fits_in(without) {
+            free = without;
+            chosen.remove(index);
+        }
+    }
+    chosen
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn room(gpus: f64) -> Room {
+        Room {
+            cpus: gpus,
+            gpus,
+            memory_gb: gpus,
+        }
+    }
+
+    fn site(host: &str, free: f64, victims: &[(u32, f64, Rank, f64, bool)]) -> Site {
+        Site {
+            host: host.into(),
+            free: room(free),
+            victims: victims
+                .iter()
+                .map(|(index, gpus, rank, waste_s, leaving)| Victim {
+                    task: TaskId {
+                        job: "job-1".into(),
+                        index: *index,
+                    },
+                    room: room(*gpus),
+                    rank: *rank,
+                    waste_s: *waste_s,
+                    leaving: *leaving,
+                })
+                .collect(),
+            delay_s: 0.0,
+        }
+    }
+
+    #[test]
+    fn the_least_waste_of_the_lowest_priority_is_stopped() {
+        use Rank::{BestEffort, Normal, Urgent};
+        let cases = [
+            // sites, where, whom
+            (vec![site("a", 2.0, &[(0, 1.0, Normal, 5.0, false)])], None),
+            (
+                vec![site(
+                    "a",
+                    3.0,
+                    &[(0, 1.0, Normal, 9.0, false), (1, 1.0, Normal, 5.0, false)],
+                )],
+                Some(("a", vec![1])),
+            ),
+            (
+                vec![
+                    site("a", 3.0, &[(0, 1.0, Urgent, 1.0, false)]),
+                    site("b", 0.0, &[(1, 4.0, BestEffort, 99.0, false)]),
+                ],
+                Some(("b", vec![1])),
+            ),
+            (
+                vec![
+                    site("a", 3.0, &[(0, 1.0, Normal, 5.0, false)]),
+                    site("b", 0.0, &[(1, 4.0, Normal, 50.0, true)]),
+                ],
+                Some(("b", vec![])),
+            ),
+            (
+                vec![site(
+                    "a",
+                    0.0,
+                    &[(0, 1.0, Normal, 1.0, false), (1, 4.0, Normal, 5.0, false)],
+                )],
+                Some(("a", vec![1])),
+            ),
+        ];
+        for (index, (sites, expected)) in cases.into_iter().enumerate() {
+            let got = choose(room(4.0), sites);
+            let got = got.as_ref().map(|(host, tasks)| {
+                (
+                    host.as_str(),
+                    tasks.iter().map(|t| t.index).collect::<Vec<_>>(),
+                )
+            });
+            assert_eq!(got, expected, "case {index}");
+        }
+    }
+}
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -1,9 +1,11 @@
 //! Workers: what they report, what they are told, and the evidence of where a task is.
 
+pub mod client;
 pub mod reconcile;
 pub mod wire;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::net::SocketAddr;
 
 use crate::types::{
     Attempt, BlockId, HostId, Image, JobId, Millis, NodeId, Session, Sku, TaskId, Token, Zone,
@@ -45,10 +47,39 @@
     pub draining: bool,
     /// A start was refused for room: no more until then.
     pub refused_until: Millis,
+    /// Where the worker takes orders directly.
+    pub address: Option<SocketAddr>,
+    pub direct: Direct,
     /// Images in the cache, by last use.
     pub images: HashMap<Image, Millis>,
 }
 
+/// Orders sent to a worker without waiting for its report.
+#[derive(Clone, Debug, Default)]
+pub struct Direct {
+    /// An exchange is under way.
+    pub busy: bool,
+    /// More came up meanwhile.
+    pub again: bool,
+    /// Starts that were sent under this token and session and got no answer. The network may
+    /// deliver them minutes later, so the worker may start these at any time, unless it knows
+    /// the attempt already: such a task is not proved absent, and its attempt not forgotten.
+    pub loose: HashSet<(TaskId, Attempt)>,
+    pub under: (Token, Session),
+    /// Starts of the exchange that is under way.
+    pub sent: Vec<(TaskId, Attempt)>,
+}
+
+impl Direct {
+    /// Starts of an earlier token or session are refused by the worker, whenever they come.
+    pub fn enter(&mut self, token: Token, session: Session) {
+        if self.under != (token, session) {
+            self.under = (token, session);
+            self.loose.clear();
+        }
+    }
+}
+
 /// A machine is sick once tasks of this many jobs failed on it in a row.
 const SICK_AFTER: usize = 2;
 
@@ -72,6 +103,8 @@
             sick: false,
             draining: false,
             refused_until: Millis(0),
+            address: None,
+            direct: Direct::default(),
             images: HashMap::new(),
         }
     }
@@ -88,6 +121,7 @@
         self.baton = report.baton;
         self.heard = now;
         self.heard_by = by.clone();
+        self.address = report.address.parse().ok();
         self.warned = report.warning_s.is_some();
         self.tasks = report
             .picks
--- a/src/workers/reconcile.rs
+++ b/src/workers/reconcile.rs
@@ -40,6 +40,8 @@
         return out;
     }
     let mut settled: HashSet<&TaskId> = HashSet::new();
+    let loose =
+        |task: &TaskId, attempt: Attempt| machine.direct.loose.contains(&(task.clone(), attempt));
     for (task, seen) in &machine.tasks {
         let job = jobs.get(&task.job);
         let attempt = seen.attempt;
@@ -83,10 +85,15 @@
             }
             // The record has moved on, and it was committed before: an exited task may be
             // forgotten, any other has no business here.
-            _ if exited => out.orders.push(Order::Forget {
-                task: task.clone(),
-                attempt,
-            }),
+            _ if exited => {
+                // A start that is still under way would start a forgotten attempt once more.
+                if !loose(task, attempt) {
+                    out.orders.push(Order::Forget {
+                        task: task.clone(),
+                        attempt,
+                    });
+                }
+            }
             _ => out.orders.push(Order::Stop {
                 task: task.clone(),
                 attempt,
@@ -118,10 +125,10 @@
                     task,
                     attempt: placement.attempt,
                 });
-            } else {
-                // Starts ride on answers only, and a worker has one report in flight: a newer
+            } else if !loose(&task, placement.attempt) {
+                // Starts ride on answers, and a worker has one report in flight: a newer
                 // report that does not show the task proves that no start of it was executed,
-                // and none follows.
+                // and none follows; one sent directly would be loose until it is answered.
                 out.changes.push((id.clone(), *index, release));
             }
         }
