Empty half-used machines; place where the image is

Excluded: headroom (1 to 3 machines) and boots (4% of the cost).

Change: the leader empties the machine with the least on it when all of it finds room elsewhere, replicas only where their image is at hand; small lasting tasks keep off machines that urgent work may want whole; a job whose image is at hand in another block goes there over the leader.

--- a/src/controller/committing.rs
+++ b/src/controller/committing.rs
@@ -124,6 +124,9 @@
         let indices: Vec<u32> = changes.iter().map(|(index, _)| *index).collect();
         match answer {
             Answer::Committed(_) => {
+                for (index, change) in &changes {
+                    tracing::debug!(job = %id, index, ?change, "committed");
+                }
                 self.jobs.discard(&id, &indices);
                 if let Some(job) = self.jobs.get_mut(&id) {
                     job.writing = Writing::Idle;
--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -13,6 +13,9 @@
 const EVERY: Millis = Millis(1_000);
 const LIST_EVERY: Millis = Millis(2_500);
 const FLAVORS_EVERY: Millis = Millis(60_000);
+/// Only a machine with this share of its room free is emptied.
+const EMPTY_ENOUGH: f64 = 0.4;
+const LOG_EVERY: Millis = Millis(10_000);
 const RETRY: Millis = Millis(1_000);
 /// An offer without capacity is asked for again after this long.
 const SOLD_OUT: Millis = Millis(15_000);
@@ -70,6 +73,7 @@
         self.note_arrivals();
         self.adopt_reporting();
         self.mark_idle();
+        self.log_use();
         self.delete_lost();
         if self.without_store().0 < 4_000 {
             self.rent_and_return();
@@ -305,9 +309,20 @@
             |offer| self.sold_out(offer),
             self.settings.operator.idle_return,
         );
+        if !plan.rent.is_empty() && self.keep_drained() {
+            return;
+        }
+        let waiting = self
+            .jobs
+            .iter()
+            .any(|job| job.active() && job.waiting() > 0);
+        let quiet = plan.rent.is_empty() && plan.release.is_empty() && !waiting;
         for (offer, count) in plan.rent {
             self.rent(offer, count.min(MOST_RENTED));
         }
+        if quiet && draining_idle.is_empty() {
+            self.consolidate();
+        }
         let keep: HashSet<HostId> = plan.release.into_iter().collect();
         self.drains.extend(keep);
         let ready: Vec<HostId> = draining_idle
@@ -317,12 +332,140 @@
         self.delete(ready);
     }
 
+    /// Room is short: machines that were to be returned are kept instead of renting more.
+    fn keep_drained(&mut self) -> bool {
+        let kept: Vec<HostId> = self
+            .drains
+            .iter()
+            .filter(|host| !self.fleet.deleting.contains(*host))
+            .filter(|host| {
+                self.machines
+                    .get(*host)
+                    .is_some_and(|m| !m.sick && !m.warned)
+            })
+            .cloned()
+            .collect();
+        for host in &kept {
+            self.drains.remove(host);
+        }
+        !kept.is_empty()
+    }
+
+    /// Empties the machine with the least on it if all that would find room elsewhere: replicas
+    /// where their image is at hand, so that they are back at once; arrays end by themselves.
+    fn consolidate(&mut self) {
+        let mut bins: Vec<(HostId, Room, Room)> = Vec::new();
+        for (host, rented) in &self.fleet.hosts {
+            let usable = self
+                .machines
+                .get(host)
+                .is_some_and(|m| self.ours(m) || self.others(m));
+            let flavor = self.flavors.iter().find(|f| f.sku == rented.rig);
+            if let (true, Some(flavor)) = (usable, flavor) {
+                bins.push((
+                    host.clone(),
+                    flavor.room,
+                    flavor.room.minus(self.jobs.taken(host)),
+                ));
+            }
+        }
+        bins.sort_by(|a, b| b.2.share_of(b.1).total_cmp(&a.2.share_of(a.1)));
+        let wanted = self.headroom().map_or(0, |h| h.machines) as usize;
+        let ready = |host: &HostId| {
+            self.yielding(host) && self.fleet.hosts.get(host).is_some_and(|r| !r.spot)
+        };
+        for (index, (host, whole, free)) in bins.iter().enumerate() {
+            let mut left: Vec<_> = bins.clone();
+            left.remove(index);
+            left.retain(|(other, _, _)| !self.drains.contains(other));
+            if free == whole || free.share_of(*whole) < EMPTY_ENOUGH {
+                continue;
+            }
+            let mut broken: HashSet<HostId> = HashSet::new();
+            let fits = self.jobs.on_host(host).all(|(id, _)| {
+                let Some(job) = self.jobs.get(id) else {
+                    return true;
+                };
+                let spec = &job.spec;
+                if spec.shape == Shape::Gang || !job.active() {
+                    return false;
+                }
+                // The fullest machine that will do, as the cycle would choose.
+                let target = left.iter_mut().rev().find(|(other, _, room)| {
+                    self.machines.get(other).is_some_and(|m| {
+                        spec.allows(&m.rig, &m.zone, m.spot)
+                            && (spec.yields() || m.images.contains_key(&spec.image))
+                            && (spec.yields() || !ready(other))
+                    }) && spec.room.fits_in(*room)
+                });
+                match target {
+                    Some((other, _, room)) => {
+                        *room = room.minus(spec.room);
+                        if !spec.yields() {
+                            broken.insert(other.clone());
+                        }
+                        true
+                    }
+                    None => false,
+                }
+            });
+            let still_ready = left
+                .iter()
+                .filter(|(other, _, _)| ready(other) && !broken.contains(other))
+                .count();
+            if fits && (still_ready >= wanted || !ready(host)) {
+                tracing::info!(%host, "emptying the machine");
+                self.drains.insert(host.clone());
+                return;
+            }
+        }
+    }
+
+    /// A line for the log: how much of the fleet is in use.
+    fn log_use(&mut self) {
+        if self.now.since(self.fleet.logged) < LOG_EVERY {
+            return;
+        }
+        self.fleet.logged = self.now;
+        let (mut booting, mut idle, mut busy, mut spot) = (0, 0, 0, 0);
+        let (mut whole, mut used) = (Room::default(), Room::default());
+        for (host, rented) in &self.fleet.hosts {
+            match (rented.stage, rented.idle) {
+                (Stage::Running, None) => busy += 1,
+                (Stage::Running, Some(_)) => idle += 1,
+                _ => booting += 1,
+            }
+            spot += u32::from(rented.spot);
+            if let Some(flavor) = self.flavors.iter().find(|f| f.sku == rented.rig) {
+                whole = whole.plus(flavor.room);
+                used = used.plus(self.jobs.taken(host));
+            }
+        }
+        let waiting: u32 = self
+            .jobs
+            .iter()
+            .filter(|j| j.active())
+            .map(|j| j.waiting())
+            .sum();
+        tracing::info!(
+            busy,
+            idle,
+            booting,
+            spot,
+            draining = self.drains.len(),
+            waiting,
+            headroom = self.headroom().map(|h| h.machines),
+            used = format!("{:.2}", used.share_of(whole)),
+            "fleet"
+        );
+    }
+
     /// Room on a machine held by tasks that save their work when urgent work needs it.
     fn soft(&self, host: &HostId) -> Room {
         self.jobs
             .on_host(host)
             .filter_map(|(id, _)| self.jobs.get(id))
-            .filter(|job| job.spec.rank < Rank::Urgent && job.spec.checkpoint_s > 0.0)
+            .filter(|job| job.spec.yields())
             .fold(Room::default(), |sum, job| sum.plus(job.spec.room))
     }
 
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -95,7 +95,7 @@
     }
 
     /// Fit for tasks that we place ourselves: in a block of ours, and heard under its token.
-    fn ours(&self, machine: &Machine) -> bool {
+    pub(super) fn ours(&self, machine: &Machine) -> bool {
         self.token_for(&machine.block).is_some_and(|token| {
             machine.baton == token
                 && machine.answered.is_some_and(|(under, _)| under == token)
@@ -106,7 +106,7 @@
     }
 
     /// Fit as far as its holder says.
-    fn others(&self, machine: &Machine) -> bool {
+    pub(super) fn others(&self, machine: &Machine) -> bool {
         self.token_for(&machine.block).is_none()
             && self
                 .leases
@@ -114,6 +114,7 @@
                 .get(&machine.block)
                 .is_some_and(|(holder, _)| *holder == machine.heard_by)
             && machine.fit(self.now, self.silence())
+            && !self.drains.contains(&machine.host)
             && !self.fleet.gone.contains(&machine.host)
     }
 
@@ -126,10 +127,19 @@
                 machine,
                 whole: self.whole(machine),
                 free: self.free_for(machine, id),
+                yielding: self.yielding(&machine.host),
             })
             .collect()
     }
 
+    /// Whether all work on a machine gives way to urgent work.
+    pub(super) fn yielding(&self, host: &HostId) -> bool {
+        self.jobs
+            .on_host(host)
+            .filter_map(|(id, _)| self.jobs.get(id))
+            .all(|job| job.spec.yields())
+    }
+
     /// Runs cycles until nothing is active.
     pub(super) fn schedule(&mut self) {
         if !self.may_place() || self.flavors.is_empty() {
@@ -150,6 +160,9 @@
             return;
         }
         let order = self.order(job);
+        if fails == 0 && !self.handed.contains(id) && self.better_elsewhere(job) {
+            return self.not_placed(id, fails, BTreeSet::from([Check::Room]), order);
+        }
         match self.place(id) {
             Ok(()) => {
                 self.nominations.remove(id);
@@ -166,9 +179,22 @@
         }
     }
 
+    /// Whether a block of another controller has room where the image is at hand, and ours have
+    /// not: fetching it takes far longer than the way over the leader.
+    fn better_elsewhere(&self, job: &Job) -> bool {
+        let cached = |own| {
+            self.candidates(&job.id, own, None).iter().any(|candidate| {
+                candidate.machine.images.contains_key(&job.spec.image)
+                    && cycle::filter(job, candidate).is_none()
+            })
+        };
+        (job.spec.shape != Shape::Gang || job.record.tasks == 1) && !cached(true) && cached(false)
+    }
+
     /// No machine of ours will do.
     fn not_placed(&mut self, id: &JobId, fails: u32, checks: BTreeSet<Check>, order: Order) {
         let blocked = checks.contains(&Check::Team) || checks.contains(&Check::Attempt);
+        tracing::debug!(job = %id, fails, ?checks, "does not fit our blocks");
         let mut parked = checks;
         let nominated = self.nominations.get(id).is_some_and(|n| n.until > self.now);
         if !blocked && !nominated {
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -11,6 +11,8 @@
 
 /// A start that was refused for room shows that the machine holds more than we know.
 const AFTER_REFUSAL: Millis = Millis(3_000);
+/// A replica that just started is left where it is for this long.
+const LONG_ENOUGH: Millis = Millis(40_000);
 /// A machine without tasks that nobody has heard for this long is forgotten.
 const FORGET: Millis = Millis(120_000);
 
@@ -250,6 +252,44 @@
         }
     }
 
+    /// Stops replicas on machines that are being emptied, if another machine has room for them and
+    /// their image, so that they run again at once.
+    fn move_replicas(&mut self) {
+        let mut moved = Vec::new();
+        let draining = self
+            .machines
+            .values()
+            .filter(|m| self.drains.contains(&m.host));
+        for machine in draining.filter(|m| self.token_for(&m.block).is_some()) {
+            let replica = self.jobs.on_host(&machine.host).find_map(|(id, index)| {
+                let job = self.jobs.get(id)?;
+                let placement = job.task(*index).placement()?;
+                let task = TaskId {
+                    job: id.clone(),
+                    index: *index,
+                };
+                let service = job.spec.shape == Shape::Service
+                    && job.active()
+                    && self.now.since(job.settled) > LONG_ENOUGH;
+                let home = service
+                    && !self.stops.contains_key(&task)
+                    && self.machines.values().any(|m| {
+                        (self.ours(m) || self.others(m))
+                            && m.images.contains_key(&job.spec.image)
+                            && job.spec.allows(&m.rig, &m.zone, m.spot)
+                            && job.spec.room.fits_in(self.free(m))
+                    });
+                home.then(|| (task, placement.attempt, machine.host.clone()))
+            });
+            moved.extend(replica);
+        }
+        for (task, attempt, host) in moved {
+            tracing::info!(?task, %host, "moving a replica");
+            self.stops.insert(task, attempt);
+            self.poke(&host);
+        }
+    }
+
     /// Once in a while: leases of workers that ran out by our own clock, stops that are over, and
     /// machines that are no more.
     pub(super) fn notice_silence(&mut self) {
@@ -295,7 +335,8 @@
                 .and_then(|job| job.task(task.index).placement())
                 .is_some_and(|placement| placement.attempt == *attempt)
         });
-        let now = self.now;
+        self.move_replicas();
+        let (now, jobs) = (self.now, &self.jobs);
         self.nominations
             .retain(|id, n| n.until > now && jobs.get(id).is_some_and(|job| job.active()));
         self.to_preempt.retain(|id| jobs.get(id).is_some());
--- a/src/cycle.rs
+++ b/src/cycle.rs
@@ -13,6 +13,8 @@
     pub machine: &'a Machine,
     pub whole: Room,
     pub free: Room,
+    /// Nothing here but work that gives way to urgent work: as good as an empty machine.
+    pub yielding: bool,
 }
 
 /// Weights of the scores; each score lies between 0 and 1.
@@ -20,6 +22,8 @@
 const FULLNESS: f64 = 2.0;
 const SPOT: f64 = 1.5;
 const UNTRIED: f64 = 4.0;
+/// Small lasting tasks keep off machines that urgent work may want whole.
+const WHOLE: f64 = 2.5;
 
 /// Why a machine is not for this task; `None` if it is.
 pub fn filter(job: &Job, candidate: &Candidate) -> Option<Check> {
@@ -58,10 +62,12 @@
     let used = candidate.whole.minus(candidate.free).plus(spec.room);
     let spot_fits = machine.spot == spec.spot;
     let as_score = |yes: bool| f64::from(u8::from(yes));
+    let breaks = candidate.yielding && !spec.yields() && spec.room.share_of(candidate.whole) < 0.5;
     IMAGE * as_score(image)
         + FULLNESS * used.share_of(candidate.whole)
         + SPOT * as_score(spot_fits)
         + UNTRIED * as_score(!failed_here)
+        + WHOLE * as_score(!breaks)
 }
 
 /// The best machine, or the checks that rejected all.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -95,6 +95,7 @@
     /// Rental requests under way.
     pub renting: HashMap<u64, (Offer, u32)>,
     pub hires: u64,
+    pub logged: Millis,
     pub draining: BTreeMap<HostId, Millis>,
     pub listed_at: Option<Millis>,
     pub list_started: Millis,
--- a/src/jobs/cache.rs
+++ b/src/jobs/cache.rs
@@ -50,6 +50,8 @@
     pub record: JobRecord,
     pub spec: Spec,
     pub born: Millis,
+    /// When a task of it was last placed.
+    pub settled: Millis,
     pages: BTreeMap<u32, Page>,
     /// Versions at which pages were dropped, so that an older put does not bring one back.
     pub placed: u32,
@@ -298,6 +300,7 @@
                     record,
                     spec,
                     born: now,
+                    settled: now,
                     pages: BTreeMap::new(),
                     placed: 0,
                     done: 0,
@@ -479,10 +482,16 @@
                 None => Touched::default(),
             };
         }
-        match (parse_page_key(key), data) {
+        let touched = match (parse_page_key(key), data) {
             (Some((id, page)), Some(text)) => self.feed_page(&id, page, text, version),
             (Some((id, page)), None) => self.drop_page(&id, page, version),
             (None, _) => Touched::default(),
+        };
+        if let Some(id) = touched.job.as_ref().filter(|_| !touched.taken.is_empty())
+            && let Some(job) = self.jobs.get_mut(id)
+        {
+            job.settled = now;
         }
+        touched
     }
 }
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -72,6 +72,11 @@
             && (self.spot || !spot)
     }
 
+    /// Whether its tasks give way to urgent work without much loss.
+    pub fn yields(&self) -> bool {
+        self.rank < Rank::Urgent && self.checkpoint_s > 0.0 && self.shape == Shape::Array
+    }
+
     /// With `spread`, the most tasks that may be in one zone.
     pub fn zone_share(&self) -> u32 {
         self.tasks.div_ceil(2)
