Only a machine's holder calls it silent; a cut leader does nothing to the fleet

Seen in the logs as 'deleting machines' with the whole fleet.

Excluded: worker leases (none ran out before), image fetches.

Change: a machine is lost only by the fresh word of the controller that holds its block and hears others; a silent one among speaking neighbours is replaced after three missed reports; a leader without a valid lease does not touch the fleet; a controller that no worker reaches gives up its blocks. Arrivals are counted by every controller, so a new leader does not take old jobs for a burst.

--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -3,12 +3,14 @@
 
 use std::collections::{BTreeMap, HashSet};
 
+use super::reports::WORD_HOLDS;
 use super::{Controller, Effect};
 use crate::fleet::plan::{Bin, Headroom, Need, plan};
 use crate::fleet::{CloudAnswer, CloudCall, Fleet, Offer, Rented, Stage};
 use crate::jobs::cache::{Change, Evidence};
 use crate::jobs::{Rank, Shape};
 use crate::types::{HostId, JobId, Millis, Room};
+use crate::workers::block_of;
 
 const EVERY: Millis = Millis(1_000);
 const LIST_EVERY: Millis = Millis(2_500);
@@ -26,14 +28,11 @@
 /// The most machines one request may ask for.
 const MOST_RENTED: u32 = 50;
 const MOST_DELETED: usize = 100;
-/// A holder's word that a machine is being emptied holds for this long.
-const WORD_HOLDS: Millis = Millis(3_000);
 
 impl Controller {
     pub(super) fn start_leading(&mut self) {
         self.fleet = Fleet::default();
         self.drains.clear();
-        self.arrivals.clear();
     }
 
     fn call_cloud(&mut self, call: CloudCall) -> u64 {
@@ -56,8 +55,13 @@
             self.flavors_asked = self.now;
             self.call_cloud(CloudCall::Flavors);
         }
+        if self.synced {
+            self.note_arrivals();
+        }
+        // A leader whose lease may be over acts no more: another may lead already, and hear
+        // machines that this one thinks dead.
         if self.leading().is_none()
-            || !self.synced
+            || !self.may_place()
             || self.now.since(self.fleet_ticked) < EVERY
             || self.flavors.is_empty()
         {
@@ -70,7 +74,6 @@
             self.fleet.page_seen.clear();
             self.call_cloud(CloudCall::List { after: None });
         }
-        self.note_arrivals();
         self.adopt_reporting();
         self.mark_idle();
         self.log_use();
@@ -82,7 +85,7 @@
 
     /// Jobs that are new since the last look, for the rate at which room is asked for.
     fn note_arrivals(&mut self) {
-        let (now, led) = (self.now, self.led_since);
+        let now = self.now;
         let seen = self.arrivals_until;
         let mut found = Vec::new();
         for job in self
@@ -103,8 +106,7 @@
         }
         self.arrivals.extend(found);
         self.arrivals_until = now;
-        let window = WINDOW.0.min(now.since(led).0.max(60_000));
-        self.arrivals.retain(|(at, _)| now.since(*at).0 <= window);
+        self.arrivals.retain(|(at, _)| now.since(*at) <= WINDOW);
     }
 
     /// Machines that report are there, whatever the list says.
@@ -150,7 +152,6 @@
     /// cloud's answer is the evidence that their tasks are gone.
     fn delete_lost(&mut self) {
         let lease = Millis::from_secs(self.settings.deployment.workers.lease_s + 4.0);
-        let led_for = self.now.since(self.led_since);
         let mut lost: Vec<HostId> = Vec::new();
         for (host, rented) in &self.fleet.hosts {
             let boot = self
@@ -159,13 +160,16 @@
                 .find(|f| f.sku == rented.rig)
                 .map_or(60.0, |f| f.boot_s.max(5.0));
             let machine = self.machines.get(host);
-            let silent = match machine {
-                Some(machine) => self.now.since(machine.heard),
-                None => self.now.since(rented.since).min(led_for),
-            };
+            let parts = self.settings.operator.blocks_per_zone;
+            let block = block_of(host, &rented.zone, parts);
+            let silent = self.silent_for(host, &block);
             let never = rented.stage == Stage::Booting
                 && self.now.since(rented.since) > Millis::from_secs(boot * NEVER + 10.0);
-            let dead = rented.stage == Stage::Running && silent > lease && led_for > lease;
+            let early = Millis::from_secs(3.2 * self.settings.deployment.workers.report_s + 1.0);
+            let dead = rented.stage == Stage::Running
+                && silent.is_some_and(|silent| {
+                    silent > lease || silent > early && self.zone_speaks(host, &rented.zone)
+                });
             let sick = machine.is_some_and(|m| m.sick || m.warned && m.tasks.is_empty())
                 && !self.jobs.busy(host)
                 && self.drained(host);
@@ -176,7 +180,11 @@
         // Machines that only the records know: a list need not show them any more.
         for host in self.jobs.hosts() {
             let known = self.fleet.hosts.contains_key(host) || self.machines.contains_key(host);
-            if !known && led_for > lease {
+            let block = self.jobs.on_host(host).find_map(|(id, index)| {
+                Some(self.jobs.get(id)?.task(*index).placement()?.block.clone())
+            });
+            let silent = block.and_then(|block| self.silent_for(host, &block));
+            if !known && silent.is_some_and(|silent| silent > lease) {
                 lost.push(host.clone());
             }
         }
@@ -475,12 +483,8 @@
             .flavors
             .iter()
             .min_by(|a, b| a.price.total_cmp(&b.price))?;
-        let window = self
-            .now
-            .since(self.led_since)
-            .secs()
-            .clamp(60.0, WINDOW.secs());
-        let rate = self.arrivals.iter().map(|(_, share)| share).sum::<f64>() / window;
+        let asked: f64 = self.arrivals.iter().map(|(_, share)| share).sum();
+        let rate = asked / WINDOW.secs();
         let lead_s = flavor.boot_s + 8.0;
         Some(Headroom {
             machines: (rate * lead_s).round() as u32,
--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -68,7 +68,7 @@
                     .leases
                     .nodes
                     .get(&self.me)
-                    .is_some_and(|(record, _)| record.permit == permit);
+                    .is_some_and(|(r, _)| r.permit == permit && r.hears == self.hears);
                 if registered {
                     self.keep_leadership();
                 } else {
@@ -94,7 +94,7 @@
         let record = NodeRecord {
             permit,
             zone: self.settings.zone.clone(),
-            hears: true,
+            hears: self.hears,
         };
         let mut txn = Txn::default();
         txn.require(key.clone(), version);
@@ -240,6 +240,7 @@
                     self.synced = true;
                     self.applied = self.applied.max(start);
                     tracing::info!(revision = start.0, "read all records");
+                    self.arrivals_until = self.now;
                     self.reconsider_all();
                     self.keep_membership();
                     self.keep_following();
@@ -349,6 +350,7 @@
                 }
             }
             Moved::Block(block) => {
+                self.moved.insert(block.clone(), self.now);
                 let holder = self.leases.blocks.get(&block);
                 if let Some((_, token)) = holder.filter(|(holder, _)| *holder == self.me) {
                     tracing::info!(%block, token = token.0, "holding");
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -25,7 +25,9 @@
 use crate::queue::Queue;
 use crate::settings::Settings;
 use crate::store::{Answer, Call, Class, Txn};
-use crate::types::{HostId, JobId, Millis, NodeId, ReplyId, Revision, Room, Session, Team, Token};
+use crate::types::{
+    BlockId, HostId, JobId, Millis, NodeId, ReplyId, Revision, Room, Session, Team, Token,
+};
 use crate::workers::Machine;
 use crate::workers::reconcile::Stops;
 use crate::workers::wire::{Order, Report, ReportAnswer};
@@ -70,6 +72,10 @@
     Ready {
         reply: ReplyId,
     },
+    /// What came of asking a worker for its report.
+    Inspected {
+        answered: bool,
+    },
     /// What came of orders sent directly; none: no answer.
     Direct {
         host: HostId,
@@ -79,6 +85,11 @@
 
 #[derive(Debug)]
 pub enum Effect {
+    /// Asks a worker for its report, to see whether workers can be reached.
+    Inspect {
+        host: HostId,
+        address: SocketAddr,
+    },
     /// Orders that do not wait for the worker's next report.
     Direct {
         host: HostId,
@@ -192,6 +203,8 @@
     revision: Revision,
     /// How long it had been without the state service.
     without_store: Millis,
+    /// Whether workers reach it.
+    hears: bool,
 }
 
 pub struct Controller {
@@ -217,6 +230,12 @@
     ended_old: bool,
 
     leases: Leases,
+    /// When each block last changed hands, as far as we saw.
+    moved: HashMap<BlockId, Millis>,
+    /// Whether we hear from workers; without that we can hold no blocks.
+    hears: bool,
+    last_report: Millis,
+    inspected: Millis,
     busy_membership: HashSet<&'static str>,
     led_since: Millis,
 
@@ -275,6 +294,10 @@
             store_heard: Millis(0),
             ended_old: false,
             leases: Leases::default(),
+            moved: HashMap::new(),
+            hears: true,
+            last_report: Millis(0),
+            inspected: Millis(0),
             busy_membership: HashSet::new(),
             led_since: Millis(0),
             jobs: Jobs::default(),
@@ -315,6 +338,7 @@
             Event::Submit { reply, submission } => self.on_submit(reply, submission),
             Event::Poll { reply, job } => self.on_poll(reply, job),
             Event::Abort { reply, job } => self.on_abort(reply, job),
+            Event::Inspected { answered } => self.on_inspected(answered),
             Event::Direct { host, answer } => self.on_direct(&host, answer),
             Event::Ready { reply } => {
                 let ready = self.ready();
@@ -330,6 +354,7 @@
         self.keep_following();
         self.read_revision();
         self.queue.tick(self.now);
+        self.keep_hearing();
         self.notice_silence();
         self.keep_peers();
         self.keep_fleet();
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -496,6 +496,7 @@
             heard: now,
             revision: Revision(status.revision),
             without_store: Millis(status.without_store_ms),
+            hears: status.hears,
         };
         self.peers.insert(from.clone(), state);
         let silence = self.silence();
@@ -569,6 +570,7 @@
         let status = Status {
             revision: self.applied.0,
             without_store_ms: self.without_store().0,
+            hears: self.hears && self.now.since(self.last_report) <= self.silence(),
             machines,
             draining,
         };
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -4,7 +4,7 @@
 use crate::jobs::Shape;
 use crate::jobs::cache::{Change, Evidence};
 use crate::queue;
-use crate::types::{HostId, JobId, Millis, ReplyId, TaskId, Token};
+use crate::types::{BlockId, HostId, JobId, Millis, ReplyId, TaskId, Token, Zone};
 use crate::workers::reconcile::reconcile;
 use crate::workers::wire::{Cause, Order, Report, ReportAnswer, TaskStage};
 use crate::workers::{Machine, block_of};
@@ -13,6 +13,10 @@
 const AFTER_REFUSAL: Millis = Millis(3_000);
 /// A replica that just started is left where it is for this long.
 const LONG_ENOUGH: Millis = Millis(40_000);
+/// How often a controller that hears nobody asks a worker.
+const INSPECT_EVERY: Millis = Millis(2_000);
+/// What another controller said holds for this long.
+pub(super) const WORD_HOLDS: Millis = Millis(3_000);
 /// A machine without tasks that nobody has heard for this long is forgotten.
 const FORGET: Millis = Millis(120_000);
 
@@ -23,10 +27,92 @@
     }
 
     pub(super) fn on_report(&mut self, reply: ReplyId, report: Report) {
+        self.last_report = self.now;
+        self.hears = true;
         let answer = self.answer_report(report);
         self.effects.push(Effect::Worker { reply, answer });
     }
 
+    /// A controller that none of its workers reaches gives its blocks up, and takes some again
+    /// once it reaches workers.
+    pub(super) fn keep_hearing(&mut self) {
+        if !self.hears {
+            if self.now.since(self.inspected) >= INSPECT_EVERY {
+                self.inspected = self.now;
+                let asked = self
+                    .machines
+                    .values()
+                    .filter(|m| !self.fleet.gone.contains(&m.host))
+                    .max_by_key(|m| m.heard)
+                    .and_then(|m| Some((m.host.clone(), m.address?)));
+                if let Some((host, address)) = asked {
+                    self.effects.push(Effect::Inspect { host, address });
+                }
+            }
+            return;
+        }
+        let deaf = Millis(self.silence().0 + 2_000);
+        let expected = self
+            .machines
+            .values()
+            .filter(|m| m.answered.is_some() && !self.fleet.gone.contains(&m.host))
+            .filter(|m| {
+                self.token_for(&m.block).is_some()
+                    && self
+                        .moved
+                        .get(&m.block)
+                        .is_none_or(|at| self.now.since(*at) > deaf)
+                    && self.now.since(m.heard).0 < 4 * deaf.0
+            })
+            .count();
+        if expected >= 2 && self.now.since(self.last_report) > deaf {
+            tracing::info!(expected, "no worker reaches us: giving up our blocks");
+            self.hears = false;
+        }
+    }
+
+    pub(super) fn on_inspected(&mut self, answered: bool) {
+        if answered && !self.hears {
+            tracing::info!("workers can be reached again");
+            self.hears = true;
+            self.last_report = self.now;
+        }
+    }
+
+    /// How long a machine has been silent, by the word of whoever holds its block now; nobody
+    /// else can tell. A holder that hears nobody can't either.
+    pub(super) fn silent_for(&self, host: &HostId, block: &BlockId) -> Option<Millis> {
+        let (holder, _) = self.leases.blocks.get(block)?;
+        let held = self
+            .moved
+            .get(block)
+            .map_or(self.now, |at| self.now.since(*at));
+        let heard = self.machines.get(host).map_or(Millis(0), |m| m.heard);
+        let can_tell = if *holder == self.me {
+            self.hears && self.now.since(self.last_report) <= self.silence()
+        } else {
+            self.peers
+                .get(holder)
+                .is_some_and(|peer| peer.hears && self.now.since(peer.heard) <= WORD_HOLDS)
+        };
+        can_tell.then(|| self.now.since(heard).min(held))
+    }
+
+    /// Whether most other machines of the zone are heard: then it is the machine that is silent,
+    /// not the network.
+    pub(super) fn zone_speaks(&self, host: &HostId, zone: &Zone) -> bool {
+        let fresh = self.silence();
+        let others: Vec<bool> = self
+            .machines
+            .values()
+            .filter(|m| m.zone == *zone && m.host != *host && !self.fleet.gone.contains(&m.host))
+            .filter(|m| self.now.since(m.heard).0 < 8 * fresh.0)
+            .map(|m| self.now.since(m.heard) <= fresh)
+            .collect();
+        let speaking = others.iter().filter(|speaks| **speaks).count();
+        speaking >= 2 && speaking * 3 >= others.len() * 2
+    }
+
     fn answer_report(&mut self, report: Report) -> ReportAnswer {
         let parts = self.settings.operator.blocks_per_zone;
         let block = block_of(&report.host, &report.yard, parts);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -62,6 +62,7 @@
     cloud: Cloud,
     peers: Peers,
     workers: HttpClient,
+    inspections: mpsc::UnboundedSender<bool>,
     from_workers: mpsc::UnboundedSender<(HostId, Option<DirectAnswer>)>,
     owed: HashMap<ReplyId, Owed>,
     next_reply: u64,
@@ -73,6 +74,7 @@
     let (store_answers, mut from_store) = mpsc::unbounded_channel::<StoreAnswer>();
     let (cloud_answers, mut from_cloud) = mpsc::unbounded_channel::<CloudReply>();
     let (peer_messages, mut from_peers) = mpsc::unbounded_channel::<PeerMessage>();
+    let (inspections, mut inspected) = mpsc::unbounded_channel();
     let (from_workers, mut direct_answers) = mpsc::unbounded_channel();
     let (inbox, mut requests) = mpsc::unbounded_channel::<Request>();
     let mut daemon = Daemon {
@@ -83,6 +85,7 @@
         peers: Peers::start(&settings, peer_messages),
         workers: HttpClient::new(settings.public_addr),
         from_workers,
+        inspections,
         owed: HashMap::new(),
         next_reply: 0,
     };
@@ -102,6 +105,7 @@
             Some(PeerMessage { from, message }) = from_peers.recv() => {
                 daemon.handle(Event::Peer { from, message });
             }
+            Some(answered) = inspected.recv() => daemon.handle(Event::Inspected { answered }),
             Some((host, answer)) = direct_answers.recv() => {
                 daemon.handle(Event::Direct { host, answer });
             }
@@ -155,6 +159,14 @@
     fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::Store { tag, class, call } => self.store.send(tag, class, call),
+            Effect::Inspect { host, address } => {
+                let (workers, answers) = (self.workers.clone(), self.inspections.clone());
+                tokio::spawn(async move {
+                    let answered = client::inspect(workers, address).await;
+                    tracing::debug!(%host, answered, "inspected");
+                    let _ = answers.send(answered);
+                });
+            }
             Effect::Direct {
                 host,
                 address,
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -34,6 +34,8 @@
     pub revision: u64,
     /// Milliseconds since the state service last answered the sender.
     pub without_store_ms: u64,
+    /// Whether workers reach the sender.
+    pub hears: bool,
     /// The machines of the sender's blocks.
     pub machines: Vec<MachineView>,
     /// From the leader: machines that are to be emptied and returned.
@@ -67,6 +69,7 @@
         let message = Message::Status(Status {
             revision: 7,
             without_store_ms: 0,
+            hears: true,
             machines: vec![],
             draining: vec!["vm-1".into()],
         });
--- a/src/workers/client.rs
+++ b/src/workers/client.rs
@@ -44,3 +44,12 @@
         report: serde_json::from_slice::<Report>(&body).ok(),
     })
 }
+
+/// Whether a worker answers.
+pub async fn inspect(client: HttpClient, address: SocketAddr) -> bool {
+    let asked = client
+        .at(address)
+        .call(Method::GET, "/inspect", Vec::new(), LIMIT)
+        .await;
+    asked.is_ok_and(|(status, _)| status == 200)
+}
