--- /dev/null
+++ b/tests/cluster/main.rs
@@ -0,0 +1,178 @@
+//! Whole controllers in a simulated world: crashes, cuts, outages, late messages. The world
+//! checks the rules; each test also shows that the work gets done in the end.
+
+mod world;
+
+use world::{Broken, Cut, JobPlan, NODES, World, job};
+
+fn mixed_jobs() -> Vec<JobPlan> {
+    (0..14)
+        .map(|i| match i % 7 {
+            0 => job(i, "small", "sweep", 5, 6_000),
+            1 => job(i, "large", "gang", 2, 5_000),
+            2 => job(i, "small", "standing", 2, 0),
+            3 => job(i, "large", "sweep", 12, 3_000),
+            4 => job(i, "small", "gang", 3, 4_000),
+            5 => job(i, "large", "sweep", 1, 20_000),
+            _ => job(i, "small", "sweep", 4, 3_000),
+        })
+        .collect()
+}
+
+struct Day {
+    name: &'static str,
+    /// What goes wrong.
+    plan: fn(&mut World),
+}
+
+fn cut(
+    node: usize,
+    store: bool,
+    workers: bool,
+    peers: bool,
+    from_s: u64,
+    for_s: u64,
+    hold: bool,
+) -> Cut {
+    Cut {
+        node,
+        from_store: store,
+        from_workers: workers,
+        from_peers: peers,
+        since: from_s * 1_000,
+        until: (from_s + for_s) * 1_000,
+        hold,
+    }
+}
+
+const DAYS: &[Day] = &[
+    Day {
+        name: "quiet",
+        plan: |_| {},
+    },
+    Day {
+        name: "one controller after the other crashes",
+        plan: |w| (0..NODES).for_each(|n| w.crash(n, 15_000 + 9_000 * n as u64, 3_000)),
+    },
+    Day {
+        name: "all controllers crash in a state outage",
+        plan: |w| {
+            w.outages.push((18_000, 40_000));
+            (0..NODES).for_each(|n| w.crash(n, 25_000, 4_000));
+        },
+    },
+    Day {
+        name: "answers of the state service are lost, transactions come late",
+        plan: |w| w.lost_answers = 0.15,
+    },
+    Day {
+        name: "a holder is cut from the state service only",
+        plan: |w| w.cuts.push(cut(0, true, false, false, 14, 40, true)),
+    },
+    Day {
+        name: "a holder is cut from state service and peers, and holds its commands back",
+        plan: |w| w.cuts.push(cut(1, true, false, true, 14, 45, true)),
+    },
+    Day {
+        name: "a holder is cut from workers, its commands come late",
+        plan: |w| w.cuts.push(cut(2, false, true, false, 14, 40, true)),
+    },
+    Day {
+        name: "a holder loses all, then another crashes",
+        plan: |w| {
+            w.cuts.push(cut(0, true, true, true, 12, 30, true));
+            w.crash(1, 20_000, 5_000);
+        },
+    },
+    Day {
+        name: "the cloud is down while a machine is sick and another dies",
+        plan: |w| {
+            w.run_until(15_000);
+            w.cloud_down.push((15_000, 45_000));
+            w.make_sick(0);
+            w.kill_worker(1);
+        },
+    },
+    Day {
+        name: "machines lose the network while the cloud is down",
+        plan: |w| {
+            w.cloud_down.push((16_000, 50_000));
+            w.cut_workers(&[0, 1, 2], 16_000, 50_000);
+        },
+    },
+    Day {
+        name: "lost answers, a crash and a cut at once",
+        plan: |w| {
+            w.lost_answers = 0.08;
+            w.crash(2, 16_000, 6_000);
+            w.cuts.push(cut(0, false, true, true, 18, 25, true));
+        },
+    },
+];
+
+fn play(seed: u64, day: &Day, broken: Broken) -> World {
+    let mut world = World::new(seed, mixed_jobs());
+    world.broken = broken;
+    for (index, at) in [(2, 22_000), (3, 17_000), (9, 33_000), (0, 26_000)] {
+        world.abort_at(at + (seed % 7) * 500, index);
+    }
+    (day.plan)(&mut world);
+    world.run_until(240_000);
+    world
+}
+
+#[test]
+fn no_rule_breaks_and_all_work_ends_whatever_fails() {
+    for day in DAYS {
+        for seed in 1..=3 {
+            let world = play(seed, day, Broken::default());
+            let name = format!("{} (seed {seed})", day.name);
+            assert!(
+                world.violations.is_empty(),
+                "{name}: {:?}",
+                world.violations
+            );
+            assert_eq!(world.unfinished(), Vec::<String>::new(), "{name}");
+            assert!(world.starts > 20, "{name}: only {} starts", world.starts);
+        }
+    }
+}
+
+/// The checks of the world can fail: without a guard some day breaks a rule.
+#[test]
+fn without_a_guard_rules_break() {
+    let guards = [
+        (
+            "conditions",
+            Broken {
+                conditions: true,
+                ..Broken::default()
+            },
+        ),
+        (
+            "leases",
+            Broken {
+                leases: true,
+                ..Broken::default()
+            },
+        ),
+    ];
+    for (name, broken) in guards {
+        let found = DAYS
+            .iter()
+            .flat_map(|day| (1..=4).map(move |seed| (day, seed)))
+            .any(|(day, seed)| !play(seed, day, broken).violations.is_empty());
+        assert!(found, "nothing broke without {name}");
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_day() {
+    let shown = |_| {
+        let world = play(5, &DAYS[3], Broken::default());
+        let mut done: Vec<_> = world.done.iter().cloned().collect();
+        done.sort();
+        (world.starts, done)
+    };
+    assert_eq!(shown(0), shown(1));
+}
