Critical work goes where its image is; replicas give way last

Moves of replicas came in bunches, each costing about a second of one replica.

Excluded: delays of the hand-over (10 to 30 ms in the log).

Change: where its own blocks lack the image, a controller sends a job over the leader; for critical work the leader makes room where the image is; victims whose checkpoint is recent end at once; replicas of borrowers give way only after 20 s; one replica moves in 20 s.

--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -340,6 +340,8 @@
                     tracing::info!(%leader, "following");
                 }
                 self.handed.clear();
+                // Whoever waited for the old leader tries again.
+                self.queue.wake(self.now, |_, _| true);
                 if self.synced {
                     self.reconsider_all();
                 }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -236,6 +236,7 @@
     hears: bool,
     last_report: Millis,
     inspected: Millis,
+    moved_replica: Millis,
     busy_membership: HashSet<&'static str>,
     led_since: Millis,
 
@@ -298,6 +299,7 @@
             hears: true,
             last_report: Millis(0),
             inspected: Millis(0),
+            moved_replica: Millis(0),
             busy_membership: HashSet::new(),
             led_since: Millis(0),
             jobs: Jobs::default(),
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -6,16 +6,19 @@
 use super::{Controller, Effect, Nomination};
 use crate::cycle::{self, Candidate};
 use crate::jobs::cache::{Change, Job, Writing};
-use crate::jobs::{Placement, Shape};
+use crate::jobs::{Placement, Rank, Shape};
 use crate::peers::{MachineView, Message, Status};
 use crate::preempt::{self, Site, Victim};
 use crate::queue::{Check, Event, Order};
 use crate::quota;
 use crate::types::{Attempt, HostId, JobId, Millis, NodeId, Revision, Room, Session, TaskId, Zone};
+use crate::workers::reconcile::Stop;
 use crate::workers::{Machine, block_of};
 
 /// Cycles in one go, so that other events are not kept waiting.
 const MOST_CYCLES: usize = 64;
+/// A guarantee takes room from another team's replicas after its job waited this long.
+const REPLICAS_GIVE_WAY: Millis = Millis(20_000);
 /// Room is kept this long for the job that it was made for.
 const NOMINATED: Millis = Millis(20_000);
 const STATUS_EVERY: Millis = Millis(1_000);
@@ -160,8 +163,8 @@
             return;
         }
         let order = self.order(job);
-        if fails == 0 && !self.handed.contains(id) && self.better_elsewhere(job) {
-            return self.not_placed(id, fails, BTreeSet::from([Check::Room]), order);
+        if fails == 0 && self.quicker(id, order) {
+            return;
         }
         match self.place(id) {
             Ok(()) => {
@@ -179,16 +182,63 @@
         }
     }
 
-    /// Whether a block of another controller has room where the image is at hand, and ours have
-    /// not: fetching it takes far longer than the way over the leader.
-    fn better_elsewhere(&self, job: &Job) -> bool {
-        let cached = |own| {
-            self.candidates(&job.id, own, None).iter().any(|candidate| {
-                candidate.machine.images.contains_key(&job.spec.image)
-                    && cycle::filter(job, candidate).is_none()
-            })
+    /// Whether a machine, ours or another's, has room and the job's image.
+    fn cached(&self, job: &Job, own: bool) -> bool {
+        self.candidates(&job.id, own, None).iter().any(|candidate| {
+            candidate.machine.images.contains_key(&job.spec.image)
+                && cycle::filter(job, candidate).is_none()
+        })
+    }
+
+    /// Fetching an image takes far longer than the way over the leader, or than stopping work that
+    /// gives way: where our blocks lack the image, a job is placed where it is, and room is made
+    /// there for a critical one. False: the ordinary cycle goes on.
+    fn quicker(&mut self, id: &JobId, order: Order) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
         };
-        (job.spec.shape != Shape::Gang || job.record.tasks == 1) && !cached(true) && cached(false)
+        let gang = job.spec.shape == Shape::Gang && job.record.tasks > 1;
+        if gang || self.cached(job, true) {
+            return false;
+        }
+        let critical = job.spec.rank == Rank::Critical;
+        if critical && self.to_preempt.remove(id) && self.preempt(id, false, true) {
+            let room = BTreeSet::from([Check::Room]);
+            self.queue.fail(id, 0, room, order, self.now, &mut self.rng);
+            return true;
+        }
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let elsewhere = self.cached(job, false);
+        if self.leading().is_some() {
+            let room = BTreeSet::from([Check::Room]);
+            if elsewhere {
+                self.not_placed(id, 0, room, order);
+                return true;
+            }
+            if critical && self.preempt(id, true, true) {
+                self.queue.fail(id, 0, room, order, self.now, &mut self.rng);
+                return true;
+            }
+            return false;
+        }
+        let leader = self.leader().cloned();
+        let asks = !self.handed.contains(id) && (elsewhere || critical);
+        match leader.filter(|_| asks) {
+            Some(to) => {
+                let job = id.to_string();
+                self.effects.push(Effect::Peer {
+                    to,
+                    message: Message::Unplaced { job },
+                });
+                // Tried here all the same if that leads to nothing.
+                let none = BTreeSet::new();
+                self.queue.fail(id, 0, none, order, self.now, &mut self.rng);
+                true
+            }
+            None => false,
+        }
     }
 
     /// No machine of ours will do.
@@ -199,7 +249,7 @@
         let nominated = self.nominations.get(id).is_some_and(|n| n.until > self.now);
         if !blocked && !nominated {
             let asked = self.to_preempt.remove(id);
-            if asked && self.preempt(id, false) {
+            if asked && self.preempt(id, false, false) {
                 // Its victims' ends wake it.
             } else if self.leading().is_some() {
                 let Some(job) = self.jobs.get(id) else { return };
@@ -217,7 +267,7 @@
                     }
                     Err(more) => {
                         parked.extend(more);
-                        self.preempt(id, true);
+                        self.preempt(id, true, false);
                     }
                 }
             } else if let Some(leader) = self.leader().cloned() {
@@ -296,6 +346,9 @@
         };
         let host = cycle::choose(job, self.candidates(id, true, zone).into_iter())?;
         if let Some(machine) = self.machines.get(&host) {
+            let cached = machine.images.contains_key(&job.spec.image);
+            let (class, age) = (&job.spec.class, self.now.since(job.born).secs());
+            tracing::debug!(job = %id, class, index, %host, cached, age, "reserved");
             let placement = Placement {
                 host,
                 block: machine.block.clone(),
@@ -312,8 +365,11 @@
         if victim.spec.rank < job.spec.rank {
             return true;
         }
-        // Work beyond its team's guarantee gives way to another team's guarantee.
+        // Work beyond its team's guarantee gives way to another team's guarantee; replicas only
+        // when nothing else made room for a while.
+        let patient = self.now.since(job.born) > REPLICAS_GIVE_WAY;
         guaranteed
+            && (victim.spec.shape != Shape::Service || patient)
             && victim.spec.team != job.spec.team
             && self.settings.team(&victim.spec.team).is_some_and(|team| {
                 let left = self.jobs.usage(&team.name).minus(victim.spec.room);
@@ -323,20 +379,26 @@
 
     /// Seconds that stopping a task wastes: saving, or its work so far, and starting it again.
     fn waste(&self, victim: &Job) -> f64 {
+        let spec = &victim.spec;
         let whole = self.flavors.first().map(|f| f.room);
         let share = victim.spec.room.share_of(whole.unwrap_or(victim.spec.room));
-        let lost = if victim.spec.checkpoint_s > 0.0 {
-            victim.spec.save_s + 5.0
+        let lost = if spec.cheap_to_kill() {
+            spec.checkpoint_s / 2.0 + 2.0
+        } else if spec.checkpoint_s > 0.0 {
+            spec.save_s + 5.0
         } else {
-            victim.spec.estimate_s.max(120.0)
+            spec.estimate_s.max(120.0)
         };
-        lost * share
+        // One that is late, or long, can afford it least.
+        let age = self.now.since(victim.born).secs();
+        let late = (age + spec.estimate_s) / spec.due_s.unwrap_or(600.0).max(1.0);
+        lost * share * (0.5 + late)
     }
 
     /// Stops work of lower order on the machine where that wastes least, and keeps its room for
     /// the job. A gang of several tasks waits for room instead. The leader looks at the whole
     /// fleet and leaves the stopping to the machine's holder.
-    fn preempt(&mut self, id: &JobId, whole_fleet: bool) -> bool {
+    fn preempt(&mut self, id: &JobId, whole_fleet: bool, cached: bool) -> bool {
         let Some(job) = self.jobs.get(id) else {
             return false;
         };
@@ -350,6 +412,7 @@
             .filter(|m| self.ours(m) || whole_fleet && self.others(m))
             .filter(|m| job.spec.allows(&m.rig, &m.zone, m.spot))
             .filter(|m| cycle::zone_allowed(job, &m.zone))
+            .filter(|m| !cached || m.images.contains_key(&job.spec.image))
             .map(|machine| self.site(job, guaranteed, machine))
             .collect();
         let room = job.spec.room;
@@ -379,8 +442,12 @@
                 .get(&task.job)
                 .and_then(|job| job.task(task.index).placement())
                 .map(|placement| placement.attempt);
+            let save = !self
+                .jobs
+                .get(&task.job)
+                .is_some_and(|j| j.spec.cheap_to_kill());
             if let Some(attempt) = attempt {
-                self.stops.insert(task, attempt);
+                self.stops.insert(task, Stop { attempt, save });
             }
         }
         self.poke(&host);
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -5,12 +5,14 @@
 use crate::jobs::cache::{Change, Evidence};
 use crate::queue;
 use crate::types::{BlockId, HostId, JobId, Millis, ReplyId, TaskId, Token, Zone};
-use crate::workers::reconcile::reconcile;
+use crate::workers::reconcile::{Stop, reconcile};
 use crate::workers::wire::{Cause, Order, Report, ReportAnswer, TaskStage};
 use crate::workers::{Machine, block_of};
 
 /// A start that was refused for room shows that the machine holds more than we know.
 const AFTER_REFUSAL: Millis = Millis(3_000);
+/// Each move costs its replica a moment; one at a time keeps the service as a whole up.
+const MOVE_EVERY: Millis = Millis(20_000);
 /// A replica that just started is left where it is for this long.
 const LONG_ENOUGH: Millis = Millis(40_000);
 /// How often a controller that hears nobody asks a worker.
@@ -333,7 +335,9 @@
                 .collect();
             for (index, attempt) in stopped {
                 let job = task.job.clone();
-                self.stops.insert(TaskId { job, index }, attempt);
+                let save = true;
+                self.stops
+                    .insert(TaskId { job, index }, Stop { attempt, save });
             }
         }
     }
@@ -341,6 +345,9 @@
     /// Stops replicas on machines that are being emptied, if another machine has room for them and
     /// their image, so that they run again at once.
     fn move_replicas(&mut self) {
+        if self.now.since(self.moved_replica) < MOVE_EVERY {
+            return;
+        }
         let mut moved = Vec::new();
         let draining = self
             .machines
@@ -371,8 +378,10 @@
         }
         for (task, attempt, host) in moved {
             tracing::info!(?task, %host, "moving a replica");
-            self.stops.insert(task, attempt);
+            let save = false;
+            self.stops.insert(task, Stop { attempt, save });
             self.poke(&host);
+            self.moved_replica = self.now;
         }
     }
 
@@ -416,10 +425,10 @@
         }
         self.note_changes(changes);
         let jobs = &self.jobs;
-        self.stops.retain(|task, attempt| {
+        self.stops.retain(|task, stop| {
             jobs.get(&task.job)
                 .and_then(|job| job.task(task.index).placement())
-                .is_some_and(|placement| placement.attempt == *attempt)
+                .is_some_and(|placement| placement.attempt == stop.attempt)
         });
         self.move_replicas();
         let (now, jobs) = (self.now, &self.jobs);
--- a/src/cycle.rs
+++ b/src/cycle.rs
@@ -18,7 +18,7 @@
 }
 
 /// Weights of the scores; each score lies between 0 and 1.
-const IMAGE: f64 = 3.0;
+const IMAGE: f64 = 5.0;
 const FULLNESS: f64 = 2.0;
 const SPOT: f64 = 1.5;
 const UNTRIED: f64 = 4.0;
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -77,6 +77,12 @@
         self.rank < Rank::Urgent && self.checkpoint_s > 0.0 && self.shape == Shape::Array
     }
 
+    /// Whether stopping a task at once wastes about as little as letting it save: what it did since
+    /// its last checkpoint, against the time to save during which its room is of no use.
+    pub fn cheap_to_kill(&self) -> bool {
+        self.checkpoint_s > 0.0 && self.checkpoint_s <= 3.0 * self.save_s
+    }
+
     /// With `spread`, the most tasks that may be in one zone.
     pub fn zone_share(&self) -> u32 {
         self.tasks.div_ceil(2)
--- a/src/workers/reconcile.rs
+++ b/src/workers/reconcile.rs
@@ -9,7 +9,14 @@
 use crate::types::{Attempt, HostId, JobId, TaskId, Token};
 
 /// Tasks that their holder is stopping, to make room or to empty a machine.
-pub type Stops = HashMap<TaskId, Attempt>;
+pub type Stops = HashMap<TaskId, Stop>;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stop {
+    pub attempt: Attempt,
+    /// It gets the time to save its progress.
+    pub save: bool,
+}
 
 #[derive(Debug, Default, PartialEq)]
 pub struct Outcome {
@@ -72,14 +79,19 @@
                         attempt,
                         grace_s: 0.0,
                     });
-                } else if !exited
-                    && stops.get(task) == Some(&attempt)
-                    && seen.stage != TaskStage::Saving
+                } else if let Some(stop) = stops.get(task)
+                    && !exited
+                    && stop.attempt == attempt
+                    && (seen.stage != TaskStage::Saving || !stop.save)
                 {
                     out.orders.push(Order::Stop {
                         task: task.clone(),
                         attempt,
-                        grace_s: job.spec.save_s.ceil() + 1.0,
+                        grace_s: if stop.save {
+                            job.spec.save_s.ceil() + 1.0
+                        } else {
+                            0.0
+                        },
                     });
                 }
             }
--- a/tests/cluster/world.rs
+++ b/tests/cluster/world.rs
@@ -372,7 +372,7 @@
         }
     }
 
-    fn to_node(&mut self, node: usize, at: u64, event: Event) {
+    fn send_to(&mut self, node: usize, at: u64, event: Event) {
         let epoch = self.epochs[node];
         self.post(at, Msg::Node(node, epoch, Box::new(event)));
     }
@@ -395,7 +395,7 @@
                             self.post(cut.until + 1, Msg::Store(node, epoch, tag, call, false));
                         }
                         let answer = Answer::Unknown;
-                        self.to_node(node, self.now + 2_500, Event::Store { tag, answer });
+                        self.send_to(node, self.now + 2_500, Event::Store { tag, answer });
                     }
                     None => {
                         self.post(
@@ -404,14 +404,14 @@
                         );
                         if lost {
                             let answer = Answer::Unknown;
-                            self.to_node(node, self.now + 2_500, Event::Store { tag, answer });
+                            self.send_to(node, self.now + 2_500, Event::Store { tag, answer });
                         }
                     }
                 }
             }
             Effect::Cloud { tag, call } => {
                 let answer = self.cloud(call);
-                self.to_node(node, self.now + 80, Event::Cloud { tag, answer });
+                self.send_to(node, self.now + 80, Event::Cloud { tag, answer });
             }
             Effect::Peer { to, message } => {
                 let target = (0..NODES).find(|i| format!("n{i}") == to.as_str()).unwrap();
@@ -420,7 +420,7 @@
                     let from = NodeId::from(format!("n{node}"));
                     let frame = bitcode::encode(&message);
                     let message: Message = bitcode::decode(&frame).unwrap();
-                    self.to_node(target, self.now + delay, Event::Peer { from, message });
+                    self.send_to(target, self.now + delay, Event::Peer { from, message });
                 }
             }
             Effect::Direct {
@@ -446,7 +446,7 @@
                             self.post(cut.until + 1, msg);
                         }
                         let answer = None;
-                        self.to_node(node, self.now + 3_000, Event::Direct { host, answer });
+                        self.send_to(node, self.now + 3_000, Event::Direct { host, answer });
                     }
                     None => {
                         let msg = Msg::Direct(node, epoch, host, token.0, session.0, orders, true);
@@ -457,7 +457,7 @@
             Effect::Inspect { host, .. } => {
                 let answered = self.blocked(node, |c| c.from_workers).is_none()
                     && self.workers.get(&host).is_some_and(|w| !w.dead);
-                self.to_node(node, self.now + 50, Event::Inspected { answered });
+                self.send_to(node, self.now + 50, Event::Inspected { answered });
             }
             Effect::Worker { reply, answer } => {
                 if let Some(Owed::Worker(host, tally)) = self.owed.remove(&reply)
