Jobs handed back keep their back-off; replicas of one job move within their zone

Change: a holder names machines only once they heard its token; a job handed back keeps its place in the queue; spot machines are rented for arrays that sit on ordinary ones; room being made for a job is not counted as free.

--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -93,7 +93,7 @@
             .iter()
             .filter(|job| job.born > seen && job.born <= now)
         {
-            if job.spec.rank < Rank::Urgent || job.spec.spot && job.spec.shape == Shape::Array {
+            if job.spec.rank < Rank::Urgent {
                 continue;
             }
             let whole = self
@@ -102,11 +102,12 @@
                 .filter(|f| job.spec.room.fits_in(f.room))
                 .map(|f| job.spec.room.share_of(f.room))
                 .fold(1.0, f64::min);
-            found.push((job.born, whole * f64::from(job.record.tasks)));
+            let share = whole * f64::from(job.record.tasks);
+            found.push((job.born, share, job.spec.spot));
         }
         self.arrivals.extend(found);
         self.arrivals_until = now;
-        self.arrivals.retain(|(at, _)| now.since(*at) <= WINDOW);
+        self.arrivals.retain(|(at, _, _)| now.since(*at) <= WINDOW);
     }
 
     /// Machines that report are there, whatever the list says.
@@ -257,15 +258,16 @@
                 continue;
             }
             let taken = self.jobs.taken(host);
+            let kept = self
+                .nominations
+                .values()
+                .filter(|n| n.host == *host && n.until > self.now)
+                .fold(Room::default(), |sum, n| sum.plus(n.room));
             bins.push(Bin {
                 host: Some(host.clone()),
                 offer: (rented.rig.clone(), rented.zone.clone(), rented.spot),
                 whole: flavor.room,
-                free: if self.jobs.busy(host) {
-                    flavor.room.minus(taken)
-                } else {
-                    flavor.room
-                },
+                free: flavor.room.minus(taken.plus(kept)),
                 soft: self.soft(host),
                 idle_for: rented.idle.map_or(Millis(0), |since| self.now.since(since)),
             });
@@ -289,9 +291,18 @@
             .filter(|job| job.active() && job.waiting() > 0)
             .collect();
         jobs.sort_by_key(|job| (std::cmp::Reverse(job.spec.rank), job.born));
+        let dear = self.misplaced();
         let mut budget: BTreeMap<_, Room> = BTreeMap::new();
         let mut needs = Vec::new();
         for job in jobs {
+            if self
+                .nominations
+                .get(&job.id)
+                .is_some_and(|n| n.until > self.now)
+            {
+                // Its room is being made.
+                continue;
+            }
             let Some(team) = self.settings.team(&job.spec.team) else {
                 continue;
             };
@@ -307,12 +318,17 @@
                 count += 1;
             }
             let spec = &job.spec;
-            needs.push(Need { spec, count });
+            needs.push(Need {
+                spec,
+                count,
+                spot_only: false,
+            });
         }
+        needs.extend(dear);
         let plan = plan(
             bins,
             &needs,
-            self.headroom(),
+            &self.headroom(),
             &self.flavors,
             |offer| self.sold_out(offer),
             self.settings.operator.idle_return,
@@ -378,7 +394,12 @@
             }
         }
         bins.sort_by(|a, b| b.2.share_of(b.1).total_cmp(&a.2.share_of(a.1)));
-        let wanted = self.headroom().map_or(0, |h| h.machines) as usize;
+        let wanted: usize = self
+            .headroom()
+            .iter()
+            .filter(|h| !h.spot)
+            .map(|h| h.machines as usize)
+            .sum();
         let ready = |host: &HostId| {
             self.yielding(host) && self.fleet.hosts.get(host).is_some_and(|r| !r.spot)
         };
@@ -402,6 +423,9 @@
                 let target = left.iter_mut().rev().find(|(other, _, room)| {
                     self.machines.get(other).is_some_and(|m| {
                         spec.allows(&m.rig, &m.zone, m.spot)
+                            && (spec.yields()
+                                || job.record.tasks == 1
+                                || Some(&m.zone) == self.machines.get(host).map(|m| &m.zone))
                             && (spec.yields() || m.images.contains_key(&spec.image))
                             && (spec.yields() || !ready(other))
                     }) && spec.room.fits_in(*room)
@@ -462,12 +486,34 @@
             spot,
             draining = self.drains.len(),
             waiting,
-            headroom = self.headroom().map(|h| h.machines),
+            headroom = ?self.headroom().iter().map(|h| h.machines).collect::<Vec<_>>(),
             used = format!("{:.2}", used.share_of(whole)),
             "fleet"
         );
     }
 
+    /// Tasks that may use spot machines but run on ordinary ones that would else stand ready.
+    fn misplaced(&self) -> Vec<Need<'_>> {
+        let mut counts: BTreeMap<&JobId, u32> = BTreeMap::new();
+        for (host, _) in self.fleet.hosts.iter().filter(|(_, rented)| !rented.spot) {
+            if !self.drains.contains(host) && self.yielding(host) {
+                for (id, _) in self.jobs.on_host(host) {
+                    *counts.entry(id).or_default() += 1;
+                }
+            }
+        }
+        counts
+            .into_iter()
+            .filter_map(|(id, count)| Some((&self.jobs.get(id)?.spec, count)))
+            .filter(|(spec, _)| spec.spot)
+            .map(|(spec, count)| Need {
+                spec,
+                count,
+                spot_only: true,
+            })
+            .collect()
+    }
+
     /// Room on a machine held by tasks that save their work when urgent work needs it.
     fn soft(&self, host: &HostId) -> Room {
         self.jobs
@@ -478,18 +524,30 @@
     }
 
     /// Whole machines that should stand ready: what urgent work asks for while one boots.
-    fn headroom(&self) -> Option<Headroom> {
-        let flavor = self
+    fn headroom(&self) -> Vec<Headroom> {
+        let Some(flavor) = self
             .flavors
             .iter()
-            .min_by(|a, b| a.price.total_cmp(&b.price))?;
-        let asked: f64 = self.arrivals.iter().map(|(_, share)| share).sum();
-        let rate = asked / WINDOW.secs();
+            .min_by(|a, b| a.price.total_cmp(&b.price))
+        else {
+            return Vec::new();
+        };
         let lead_s = flavor.boot_s + 8.0;
-        Some(Headroom {
-            machines: (rate * lead_s).round() as u32,
-            room: flavor.room,
-        })
+        [false, true]
+            .map(|spot| {
+                let asked: f64 = self
+                    .arrivals
+                    .iter()
+                    .filter(|(_, _, s)| *s == spot)
+                    .map(|(_, share, _)| share)
+                    .sum();
+                Headroom {
+                    spot,
+                    machines: (asked / WINDOW.secs() * lead_s).round() as u32,
+                    room: flavor.room,
+                }
+            })
+            .to_vec()
     }
 
     fn rent(&mut self, offer: Offer, count: u32) {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -262,7 +262,8 @@
     flavors_asked: Millis,
     fleet: Fleet,
     fleet_ticked: Millis,
-    arrivals: Vec<(Millis, f64)>,
+    /// When urgent work came, the share of a machine it takes, and whether spot ones will do.
+    arrivals: Vec<(Millis, f64, bool)>,
     arrivals_until: Millis,
 
     peers: HashMap<NodeId, PeerState>,
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -367,7 +367,7 @@
         }
         // Work beyond its team's guarantee gives way to another team's guarantee; replicas only
         // when nothing else made room for a while.
-        let patient = self.now.since(job.born) > REPLICAS_GIVE_WAY;
+        let patient = self.now.since(job.settled) > REPLICAS_GIVE_WAY;
         guaranteed
             && (victim.spec.shape != Shape::Service || patient)
             && victim.spec.team != job.spec.team
@@ -533,8 +533,11 @@
         match message {
             Message::Hello { .. } => {}
             Message::Unplaced { job } => {
-                if self.leading().is_some() {
-                    self.take_over(&JobId::from(job));
+                // One that is queued here already keeps its place: it must not come round faster
+                // than its back-off lets it.
+                let job = JobId::from(job);
+                if self.leading().is_some() && !self.queue.contains(&job) {
+                    self.take_over(&job);
                 }
             }
             Message::Place { job, preempt } => {
@@ -615,7 +618,10 @@
         let machines = self
             .machines
             .values()
-            .filter(|machine| self.token_for(&machine.block).is_some())
+            .filter(|m| {
+                self.token_for(&m.block)
+                    .is_some_and(|token| m.baton == token)
+            })
             .map(|machine| MachineView {
                 host: machine.host.to_string(),
                 rig: machine.rig.as_str().into(),
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -369,6 +369,8 @@
                     && self.machines.values().any(|m| {
                         (self.ours(m) || self.others(m))
                             && m.images.contains_key(&job.spec.image)
+                            // With several replicas the zone is part of the bargain.
+                            && (job.record.tasks == 1 || m.zone == machine.zone)
                             && job.spec.allows(&m.rig, &m.zone, m.spot)
                             && job.spec.room.fits_in(self.free(m))
                     });
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -35,11 +35,14 @@
 pub struct Need<'a> {
     pub spec: &'a Spec,
     pub count: u32,
+    /// Only spot machines will do: the tasks run elsewhere, at a higher price.
+    pub spot_only: bool,
 }
 
 /// Spare room that should stand ready: this many whole machines of that offer.
 #[derive(Clone, Debug)]
 pub struct Headroom {
+    pub spot: bool,
     pub machines: u32,
     pub room: Room,
 }
@@ -81,12 +84,14 @@
     best.map(|(_, offer, whole)| (offer, whole))
 }
 
-fn take_from(bins: &mut [Bin], spec: &Spec) -> bool {
+fn take_from(bins: &mut [Bin], spec: &Spec, spot_only: bool) -> bool {
     // The fullest machine that has room, spot ones first where they will do.
     let fit = bins
         .iter_mut()
         .filter(|bin| {
-            spec.allows(&bin.offer.0, &bin.offer.1, bin.offer.2) && spec.room.fits_in(bin.free)
+            spec.allows(&bin.offer.0, &bin.offer.1, bin.offer.2)
+                && (bin.offer.2 || !spot_only)
+                && spec.room.fits_in(bin.free)
         })
         .min_by(|a, b| {
             let key = |bin: &Bin| (bin.offer.2 != spec.spot, bin.free.share_of(bin.whole));
@@ -107,7 +112,7 @@
 pub fn plan(
     mut bins: Vec<Bin>,
     needs: &[Need],
-    headroom: Option<Headroom>,
+    headroom: &[Headroom],
     flavors: &[Flavor],
     sold_out: impl Fn(&Offer) -> bool,
     idle_return: Millis,
@@ -136,38 +141,43 @@
             _ => need.count,
         };
         for _ in 0..most {
-            if take_from(&mut bins, spec) {
+            if take_from(&mut bins, spec, need.spot_only) {
                 continue;
             }
-            let allows = |o: &Offer| spec.allows(&o.0, &o.1, o.2);
-            if !add(&mut bins, &allows, spec.room) || !take_from(&mut bins, spec) {
+            let allows = |o: &Offer| spec.allows(&o.0, &o.1, o.2) && (o.2 || !need.spot_only);
+            if !add(&mut bins, &allows, spec.room) || !take_from(&mut bins, spec, need.spot_only) {
                 break;
             }
         }
     }
-    let mut spare = headroom.as_ref().map_or(0, |h| h.machines);
-    if let Some(headroom) = headroom {
-        let ready = |bin: &Bin| !bin.offer.2 && bin.ready() && headroom.room.fits_in(bin.whole);
-        let there = bins.iter().filter(|b| ready(b)).count() as u32;
-        for _ in there..headroom.machines {
-            let ordinary = |o: &Offer| !o.2;
-            if !add(&mut bins, &ordinary, headroom.room) {
+    for wanted in headroom {
+        let kind = |bin: &&Bin| bin.offer.2 == wanted.spot && wanted.room.fits_in(bin.whole);
+        let there = bins.iter().filter(kind).filter(|bin| bin.ready()).count() as u32;
+        for _ in there..wanted.machines {
+            if !add(&mut bins, &|o: &Offer| o.2 == wanted.spot, wanted.room) {
                 break;
             }
         }
-    }
-    let soft = |bin: &&Bin| !bin.offer.2 && bin.ready() && !bin.empty();
-    spare = spare.saturating_sub(bins.iter().filter(soft).count() as u32);
-    let mut idle: Vec<&Bin> = bins
-        .iter()
-        .filter(|b| b.host.is_some() && b.empty())
-        .collect();
-    idle.sort_by_key(|bin| bin.idle_for);
-    for bin in idle {
-        if !bin.offer.2 && spare > 0 {
-            spare -= 1;
-        } else if bin.idle_for >= idle_return {
-            plan.release.extend(bin.host.clone());
+        // Those that give way to urgent work count as headroom first, then those that were in use
+        // until a moment ago.
+        let soft = bins
+            .iter()
+            .filter(kind)
+            .filter(|bin| bin.ready() && !bin.empty())
+            .count();
+        let mut spare = wanted.machines.saturating_sub(soft as u32);
+        let mut idle: Vec<&Bin> = bins
+            .iter()
+            .filter(kind)
+            .filter(|bin| bin.host.is_some() && bin.empty())
+            .collect();
+        idle.sort_by_key(|bin| bin.idle_for);
+        for bin in idle {
+            if spare > 0 {
+                spare -= 1;
+            } else if bin.idle_for >= idle_return {
+                plan.release.extend(bin.host.clone());
+            }
         }
     }
     plan
@@ -226,7 +236,16 @@
         let small = spec(1.0, true);
         let firm = spec(1.0, false);
         let whole = spec(8.0, false);
-        let need = |spec, count| Need { spec, count };
+        let need = |spec, count| Need {
+            spec,
+            count,
+            spot_only: false,
+        };
+        let dear = |spec, count| Need {
+            spec,
+            count,
+            spot_only: true,
+        };
         let cases = [
             // bins, needs, spare, sold out spot, rented spot, rented ordinary, released
             (vec![], vec![need(&small, 9)], 0, false, 2, 0, 0),
@@ -270,20 +289,30 @@
             (vec![bin("vm-1", false, 8.0, 99)], vec![], 0, false, 0, 0, 1),
             (vec![bin("vm-1", false, 8.0, 9)], vec![], 0, false, 0, 0, 0),
             (vec![bin("vm-1", false, 8.0, 99)], vec![], 2, false, 0, 1, 0),
+            (
+                vec![bin("vm-1", false, 4.0, 0)],
+                vec![dear(&small, 3)],
+                0,
+                false,
+                1,
+                0,
+                0,
+            ),
             (vec![bin("vm-1", true, 8.0, 99)], vec![], 1, false, 0, 1, 1),
         ];
         for (index, (bins, needs, spare, no_spot, spot, ordinary, released)) in
             cases.into_iter().enumerate()
         {
-            let headroom = Headroom {
-                machines: spare,
+            let headroom = [(false, spare), (true, 0)].map(|(spot, machines)| Headroom {
+                spot,
+                machines,
                 room: room(8.0),
-            };
+            });
             let sold_out = |o: &Offer| o.2 && no_spot;
             let plan = plan(
                 bins,
                 &needs,
-                Some(headroom),
+                &headroom,
                 &flavors(),
                 sold_out,
                 Millis(20_000),
--- a/src/jobs/cache.rs
+++ b/src/jobs/cache.rs
@@ -50,7 +50,7 @@
     pub record: JobRecord,
     pub spec: Spec,
     pub born: Millis,
-    /// When a task of it was last placed.
+    /// When a task of it was last placed or taken off its machine.
     pub settled: Millis,
     pages: BTreeMap<u32, Page>,
     /// Versions at which pages were dropped, so that an older put does not bring one back.
@@ -487,7 +487,8 @@
             (Some((id, page)), None) => self.drop_page(&id, page, version),
             (None, _) => Touched::default(),
         };
-        if let Some(id) = touched.job.as_ref().filter(|_| !touched.taken.is_empty())
+        if let Some(id) = touched.job.as_ref()
+            && !(touched.taken.is_empty() && touched.freed.is_empty())
             && let Some(job) = self.jobs.get_mut(id)
         {
             job.settled = now;
