--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -251,7 +251,7 @@
     stops: Stops,
     nominations: HashMap<JobId, Nomination>,
     /// Jobs that the leader wants room made for in our blocks.
-    to_preempt: HashSet<JobId>,
+    to_preempt: HashMap<JobId, HostId>,
     /// Jobs whose last task failed.
     failed_jobs: HashSet<JobId>,
     swept: Millis,
@@ -312,7 +312,7 @@
             machines: BTreeMap::new(),
             stops: Stops::new(),
             nominations: HashMap::new(),
-            to_preempt: HashSet::new(),
+            to_preempt: HashMap::new(),
             failed_jobs: HashSet::new(),
             swept: Millis(0),
             drains: HashSet::new(),
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -25,6 +25,15 @@
 /// What the leader wants emptied is kept so for this long after it was last heard.
 const DRAIN_HOLDS: Millis = Millis(15_000);
 
+/// Where room may be made.
+enum Where {
+    /// On this machine of ours.
+    On(HostId),
+    /// Where the image is.
+    Cached,
+    Anywhere,
+}
+
 impl Controller {
     fn responsible(&self, job: &Job) -> bool {
         let home = &job.record.home;
@@ -202,9 +211,13 @@
             return false;
         }
         let critical = job.spec.rank == Rank::Critical;
-        if critical && self.to_preempt.remove(id) && self.preempt(id, false, true) {
-            let room = BTreeSet::from([Check::Room]);
-            self.queue.fail(id, 0, room, order, self.now, &mut self.rng);
+        let asked = if critical {
+            self.to_preempt.remove(id)
+        } else {
+            None
+        };
+        if asked.is_some_and(|host| self.preempt(id, Where::On(host))) {
+            self.queue.expect_room(id, 0, order, self.now);
             return true;
         }
         let Some(job) = self.jobs.get(id) else {
@@ -217,8 +230,8 @@
                 self.not_placed(id, 0, room, order);
                 return true;
             }
-            if critical && self.preempt(id, true, true) {
-                self.queue.fail(id, 0, room, order, self.now, &mut self.rng);
+            if critical && self.preempt(id, Where::Cached) {
+                self.queue.expect_room(id, 0, order, self.now);
                 return true;
             }
             return false;
@@ -249,8 +262,8 @@
         let nominated = self.nominations.get(id).is_some_and(|n| n.until > self.now);
         if !blocked && !nominated {
             let asked = self.to_preempt.remove(id);
-            if asked && self.preempt(id, false, false) {
-                // Its victims' ends wake it.
+            if asked.is_some_and(|host| self.preempt(id, Where::On(host))) {
+                return self.queue.expect_room(id, fails, order, self.now);
             } else if self.leading().is_some() {
                 let Some(job) = self.jobs.get(id) else { return };
                 match cycle::choose(job, self.candidates(id, false, None).into_iter()) {
@@ -258,7 +271,7 @@
                         let holder = self.machines.get(&host).map(|m| m.heard_by.clone());
                         if let Some(to) = holder {
                             let job = id.to_string();
-                            let preempt = false;
+                            let preempt = None;
                             let message = Message::Place { job, preempt };
                             self.effects.push(Effect::Peer { to, message });
                         }
@@ -267,7 +280,9 @@
                     }
                     Err(more) => {
                         parked.extend(more);
-                        self.preempt(id, true, false);
+                        if self.preempt(id, Where::Anywhere) {
+                            return self.queue.expect_room(id, fails, order, self.now);
+                        }
                     }
                 }
             } else if let Some(leader) = self.leader().cloned() {
@@ -398,7 +413,7 @@
     /// Stops work of lower order on the machine where that wastes least, and keeps its room for
     /// the job. A gang of several tasks waits for room instead. The leader looks at the whole
     /// fleet and leaves the stopping to the machine's holder.
-    fn preempt(&mut self, id: &JobId, whole_fleet: bool, cached: bool) -> bool {
+    fn preempt(&mut self, id: &JobId, place: Where) -> bool {
         let Some(job) = self.jobs.get(id) else {
             return false;
         };
@@ -409,10 +424,15 @@
         let sites = self
             .machines
             .values()
-            .filter(|m| self.ours(m) || whole_fleet && self.others(m))
+            .filter(|m| match &place {
+                Where::On(host) => m.host == *host && self.ours(m),
+                Where::Cached => {
+                    (self.ours(m) || self.others(m)) && m.images.contains_key(&job.spec.image)
+                }
+                Where::Anywhere => self.ours(m) || self.others(m),
+            })
             .filter(|m| job.spec.allows(&m.rig, &m.zone, m.spot))
             .filter(|m| cycle::zone_allowed(job, &m.zone))
-            .filter(|m| !cached || m.images.contains_key(&job.spec.image))
             .map(|machine| self.site(job, guaranteed, machine))
             .collect();
         let room = job.spec.room;
@@ -429,7 +449,7 @@
         match self.machines.get(&host) {
             Some(machine) if !self.ours(machine) => {
                 let to = machine.heard_by.clone();
-                let (job, preempt) = (id.to_string(), true);
+                let (job, preempt) = (id.to_string(), Some(host.to_string()));
                 let message = Message::Place { job, preempt };
                 self.effects.push(Effect::Peer { to, message });
                 return true;
@@ -542,8 +562,8 @@
             }
             Message::Place { job, preempt } => {
                 let job = JobId::from(job);
-                if preempt {
-                    self.to_preempt.insert(job.clone());
+                if let Some(host) = preempt {
+                    self.to_preempt.insert(job.clone(), host.into());
                 }
                 self.take_over(&job);
             }
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -20,10 +20,11 @@
     Unplaced {
         job: String,
     },
-    /// From the leader: the receiver's blocks have room for this job, or can make it.
+    /// From the leader: the receiver's blocks have room for this job, or can make it on the
+    /// machine named.
     Place {
         job: String,
-        preempt: bool,
+        preempt: Option<String>,
     },
 }
 
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -193,6 +193,18 @@
         self.attach(job.clone(), place, fails, order);
     }
 
+    /// Parks a job for which room is being made: as soon as it is, the job is active. Its wait is
+    /// no failure, so there is no back-off to sit out.
+    pub fn expect_room(&mut self, job: &JobId, fails: u32, order: Order, now: Millis) {
+        self.detach(job);
+        let place = Place::Parked {
+            checks: BTreeSet::from([Check::Room]),
+            since: now,
+            until: now,
+        };
+        self.attach(job.clone(), place, fails + 1, order);
+    }
+
     /// Asks the rejecting checks of each parked job whether the event helps.
     pub fn wake(&mut self, now: Millis, mut helps: impl FnMut(&JobId, Check) -> bool) {
         let woken: Vec<(JobId, Millis)> = self
