A new holder shows its token to its machines; an old one hears of it from peers

Excluded: workers' leases (none ran out).

Change: machines that have not seen the token of their block's present holder get it by an empty /do; controllers tell each other which blocks they hold; only a machine that its present holder has heard counts as silent early.

--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -169,7 +169,10 @@
             let early = Millis::from_secs(3.2 * self.settings.deployment.workers.report_s + 1.0);
             let dead = rented.stage == Stage::Running
                 && silent.is_some_and(|silent| {
-                    silent > lease || silent > early && self.zone_speaks(host, &rented.zone)
+                    // One that its present holder never heard may report to an earlier one.
+                    let holder = self.leases.blocks.get(&block).map(|(holder, _)| holder);
+                    let lost = machine.is_some_and(|m| Some(&m.heard_by) == holder);
+                    silent > lease || lost && silent > early && self.zone_speaks(host, &rented.zone)
                 });
             let sick = machine.is_some_and(|m| m.sick || m.warned && m.tasks.is_empty())
                 && !self.jobs.busy(host)
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -11,7 +11,9 @@
 use crate::preempt::{self, Site, Victim};
 use crate::queue::{Check, Event, Order};
 use crate::quota;
-use crate::types::{Attempt, HostId, JobId, Millis, NodeId, Revision, Room, Session, TaskId, Zone};
+use crate::types::{
+    Attempt, BlockId, HostId, JobId, Millis, NodeId, Revision, Room, Session, TaskId, Token, Zone,
+};
 use crate::workers::reconcile::Stop;
 use crate::workers::{Machine, block_of};
 
@@ -589,6 +591,16 @@
             hears: status.hears,
         };
         self.peers.insert(from.clone(), state);
+        for (block, token) in status.blocks {
+            let Some(block) = BlockId::parse(&block) else {
+                continue;
+            };
+            let token = Token(token);
+            if self.leases.supersede(&block, &from, token) {
+                tracing::info!(%block, holder = %from, token = token.0, "superseded");
+                self.moved.insert(block, now);
+            }
+        }
         let silence = self.silence();
         let mut fit = Vec::new();
         for view in status.machines {
@@ -605,6 +617,7 @@
             let was_fit = machine.fit(now, silence);
             machine.heard = machine.heard.max(heard);
             machine.heard_by = from.clone();
+            machine.address = view.address.parse().ok().or(machine.address);
             machine.session = machine.session.max(Session(view.session));
             machine.warned = view.warned;
             machine.sick = view.sick;
@@ -644,6 +657,7 @@
             })
             .map(|machine| MachineView {
                 host: machine.host.to_string(),
+                address: machine.address.map(|a| a.to_string()).unwrap_or_default(),
                 rig: machine.rig.as_str().into(),
                 zone: machine.zone.as_str().into(),
                 spot: machine.spot,
@@ -664,6 +678,13 @@
             revision: self.applied.0,
             without_store_ms: self.without_store().0,
             hears: self.hears && self.now.since(self.last_report) <= self.silence(),
+            blocks: self
+                .leases
+                .blocks
+                .iter()
+                .filter(|(_, (holder, _))| *holder == self.me)
+                .map(|(block, (_, token))| (block.to_string(), token.0))
+                .collect(),
             machines,
             draining,
         };
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -1,10 +1,12 @@
 //! Workers' reports: who answers them, and what they prove.
 
+use std::net::SocketAddr;
+
 use super::{Controller, DirectAnswer, Effect};
 use crate::jobs::Shape;
 use crate::jobs::cache::{Change, Evidence};
 use crate::queue;
-use crate::types::{BlockId, HostId, JobId, Millis, ReplyId, TaskId, Token, Zone};
+use crate::types::{BlockId, HostId, JobId, Millis, ReplyId, Session, TaskId, Token, Zone};
 use crate::workers::reconcile::{Stop, reconcile};
 use crate::workers::wire::{Cause, Order, Report, ReportAnswer, TaskStage};
 use crate::workers::{Machine, block_of};
@@ -235,12 +237,14 @@
         if let (Some(report), Some(token)) = (answer.report, self.token_for(&block))
             && let Some(machine) = self.machines.get_mut(host)
             && report.host == *host
-            && report.baton == token
+            && report.baton <= token
             && machine.newer(report.shift, report.tally)
         {
             machine.take_in(&report, now, &me);
-            machine.direct.enter(token, report.shift);
-            self.see_to(host, token);
+            if machine.baton == token {
+                machine.direct.enter(token, report.shift);
+                self.see_to(host, token);
+            }
         }
         if again {
             self.poke(host);
@@ -387,6 +391,33 @@
         }
     }
 
+    /// Shows our token to the machines of our blocks that have not seen it: until then they may
+    /// go on reporting to an earlier holder, who may not know that it is one.
+    fn fence(&mut self) {
+        let unaware: Vec<(HostId, SocketAddr, Token, Session)> = self
+            .machines
+            .values()
+            .filter(|m| !m.direct.busy && !self.fleet.gone.contains(&m.host))
+            .filter_map(|m| {
+                let token = self.token_for(&m.block).filter(|token| m.baton < *token)?;
+                Some((m.host.clone(), m.address?, token, m.session))
+            })
+            .collect();
+        for (host, address, token, session) in unaware {
+            if let Some(machine) = self.machines.get_mut(&host) {
+                machine.direct.busy = true;
+                machine.direct.sent.clear();
+            }
+            self.effects.push(Effect::Direct {
+                host,
+                address,
+                token,
+                session,
+                orders: Vec::new(),
+            });
+        }
+    }
+
     /// Once in a while: leases of workers that ran out by our own clock, stops that are over, and
     /// machines that are no more.
     pub(super) fn notice_silence(&mut self) {
@@ -394,6 +425,7 @@
             return;
         }
         self.swept = self.now;
+        self.fence();
         // The worker's clock may be slower than ours, and its timers late.
         let lease_s = self.settings.deployment.workers.lease_s;
         let lease = Millis::from_secs(lease_s * 1.002 + 1.5);
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -99,6 +99,17 @@
         (leader == me).then_some(*version)
     }
 
+    /// Another controller holds a block of ours under a higher token, by its own word.
+    pub fn supersede(&mut self, block: &BlockId, holder: &NodeId, token: Token) -> bool {
+        match self.blocks.get(block) {
+            Some((known, old)) if *old < token && known != holder => {
+                self.blocks.insert(block.clone(), (holder.clone(), token));
+                true
+            }
+            _ => false,
+        }
+    }
+
     pub fn feed(&mut self, key: &str, data: Option<&str>, version: Revision) -> Option<Moved> {
         if key == LEADER {
             let record: Option<LeaderRecord> = data.and_then(|d| serde_json::from_str(d).ok());
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -37,6 +37,9 @@
     pub without_store_ms: u64,
     /// Whether workers reach the sender.
     pub hears: bool,
+    /// The blocks that the sender holds, with their tokens. A controller that lost the state
+    /// service learns from it that a block of its own has another holder.
+    pub blocks: Vec<(String, u64)>,
     /// The machines of the sender's blocks.
     pub machines: Vec<MachineView>,
     /// From the leader: machines that are to be emptied and returned.
@@ -46,6 +49,8 @@
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct MachineView {
     pub host: String,
+    /// Where its worker takes orders directly.
+    pub address: String,
     pub rig: String,
     pub zone: String,
     pub spot: bool,
@@ -71,6 +76,7 @@
             revision: 7,
             without_store_ms: 0,
             hears: true,
+            blocks: vec![],
             machines: vec![],
             draining: vec!["vm-1".into()],
         });
