A controller whose lease ended drops its offices at once

Change: the end of our lease ends our leadership and our blocks locally too. Tests: every controller in turn loses all for a while, and no machine at work is deleted for it.

--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -173,7 +173,7 @@
                     }
                     (Answer::NoLease, _) => {
                         tracing::info!("our lease is over");
-                        self.leases.own = Own::None;
+                        self.leases.lose(&self.me);
                     }
                     // Perhaps an outage: the lease may well be there when it ends.
                     _ => self.leases.renewed = self.now.max(RETRY) - RETRY,
@@ -188,13 +188,13 @@
             Purpose::Register => {
                 self.busy_membership.remove("register");
                 if matches!(answer, Answer::NoLease) {
-                    self.leases.own = Own::None;
+                    self.leases.lose(&self.me);
                 }
             }
             Purpose::Lead => {
                 self.busy_membership.remove("lead");
                 if matches!(answer, Answer::NoLease) {
-                    self.leases.own = Own::None;
+                    self.leases.lose(&self.me);
                 }
             }
             _ => {
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -110,6 +110,14 @@
         }
     }
 
+    /// Our lease is over, and all that hung on it with it, though the watch may bring that later.
+    /// Without this a leader back from a cut takes up its old office under its new lease.
+    pub fn lose(&mut self, me: &NodeId) {
+        self.own = Own::None;
+        self.leader.take_if(|(leader, _)| leader == me);
+        self.blocks.retain(|_, (holder, _)| holder != me);
+    }
+
     pub fn feed(&mut self, key: &str, data: Option<&str>, version: Revision) -> Option<Moved> {
         if key == LEADER {
             let record: Option<LeaderRecord> = data.and_then(|d| serde_json::from_str(d).ok());
--- a/tests/cluster/main.rs
+++ b/tests/cluster/main.rs
@@ -93,6 +93,22 @@
             w.kill_worker(1);
         },
     },
+    Day {
+        name: "one controller after the other, leader or not, loses all for a while",
+        plan: |w| {
+            for node in 0..NODES {
+                w.cuts.push(cut(
+                    node,
+                    true,
+                    true,
+                    true,
+                    14 + 40 * node as u64,
+                    22,
+                    false,
+                ));
+            }
+        },
+    },
     Day {
         name: "machines lose the network while the cloud is down",
         plan: |w| {
@@ -138,6 +154,20 @@
     }
 }
 
+/// A leader that was cut off thinks its machines dead; what it thinks must not reach the cloud.
+#[test]
+fn machines_at_work_are_not_deleted_for_a_controller_that_was_cut_off() {
+    let days = DAYS
+        .iter()
+        .filter(|day| day.name.starts_with("one controller") || day.name == "quiet");
+    for day in days {
+        for seed in 1..=6 {
+            let world = play(seed, day, Broken::default());
+            assert_eq!(world.deleted_at_work, 0, "{} (seed {seed})", day.name);
+        }
+    }
+}
+
 /// The checks of the world can fail: without a guard some day breaks a rule.
 #[test]
 fn without_a_guard_rules_break() {
--- a/tests/cluster/world.rs
+++ b/tests/cluster/world.rs
@@ -134,6 +134,8 @@
     completed: HashSet<String>,
     pub violations: Vec<String>,
     pub starts: u64,
+    /// Machines that were well, reachable and at work when they were deleted.
+    pub deleted_at_work: u64,
     quota: HashMap<String, f64>,
 }
 
@@ -205,6 +207,7 @@
             completed: HashSet::new(),
             violations: Vec::new(),
             starts: 0,
+            deleted_at_work: 0,
             quota: HashMap::from([("small".into(), 6.0)]),
         };
         for node in 0..NODES {
@@ -790,6 +793,11 @@
             CloudCall::Delete(hosts) => {
                 for host in hosts {
                     if let Some(worker) = self.workers.get_mut(&host) {
+                        let at_work = worker.tasks.values().any(Self::on_machine);
+                        let well = !worker.dead && !worker.sick;
+                        if at_work && well && worker.unreachable_until <= self.now {
+                            self.deleted_at_work += 1;
+                        }
                         worker.dead = true;
                         worker.tasks.clear();
                     }
