--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -15,6 +15,8 @@
 const EVERY: Millis = Millis(1_000);
 const LIST_EVERY: Millis = Millis(2_500);
 const FLAVORS_EVERY: Millis = Millis(60_000);
+/// A new holder has asked its machines after this long.
+const HOLDER_ASKS: Millis = Millis(5_000);
 /// Only a machine with this share of its room free is emptied.
 const EMPTY_ENOUGH: f64 = 0.4;
 const LOG_EVERY: Millis = Millis(10_000);
@@ -169,10 +171,9 @@
             let early = Millis::from_secs(3.2 * self.settings.deployment.workers.report_s + 1.0);
             let dead = rented.stage == Stage::Running
                 && silent.is_some_and(|silent| {
-                    // One that its present holder never heard may report to an earlier one.
-                    let holder = self.leases.blocks.get(&block).map(|(holder, _)| holder);
-                    let lost = machine.is_some_and(|m| Some(&m.heard_by) == holder);
-                    silent > lease || lost && silent > early && self.zone_speaks(host, &rented.zone)
+                    // A new holder asks each machine itself, so a few seconds suffice for it.
+                    let early = silent.since_heard > early && silent.held > HOLDER_ASKS;
+                    silent.outlasts(lease) || early && self.zone_speaks(host, &rented.zone)
                 });
             let sick = machine.is_some_and(|m| m.sick || m.warned && m.tasks.is_empty())
                 && !self.jobs.busy(host)
@@ -188,7 +189,7 @@
                 Some(self.jobs.get(id)?.task(*index).placement()?.block.clone())
             });
             let silent = block.and_then(|block| self.silent_for(host, &block));
-            if !known && silent.is_some_and(|silent| silent > lease) {
+            if !known && silent.is_some_and(|silent| silent.outlasts(lease)) {
                 lost.push(host.clone());
             }
         }
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -24,6 +24,19 @@
 /// A machine without tasks that nobody has heard for this long is forgotten.
 const FORGET: Millis = Millis(120_000);
 
+/// How long a machine has been silent, and its block in the same hands.
+pub(super) struct Silence {
+    pub since_heard: Millis,
+    pub held: Millis,
+}
+
+impl Silence {
+    /// So long that the worker's lease is over, whoever it reported to before.
+    pub fn outlasts(&self, lease: Millis) -> bool {
+        self.since_heard.min(self.held) > lease
+    }
+}
+
 impl Controller {
     /// A worker that is silent for longer gets no new tasks.
     pub(super) fn silence(&self) -> Millis {
@@ -85,7 +98,7 @@
 
     /// How long a machine has been silent, by the word of whoever holds its block now; nobody
     /// else can tell. A holder that hears nobody can't either.
-    pub(super) fn silent_for(&self, host: &HostId, block: &BlockId) -> Option<Millis> {
+    pub(super) fn silent_for(&self, host: &HostId, block: &BlockId) -> Option<Silence> {
         let (holder, _) = self.leases.blocks.get(block)?;
         let held = self
             .moved
@@ -99,7 +112,10 @@
                 .get(holder)
                 .is_some_and(|peer| peer.hears && self.now.since(peer.heard) <= WORD_HOLDS)
         };
-        can_tell.then(|| self.now.since(heard).min(held))
+        can_tell.then(|| Silence {
+            since_heard: self.now.since(heard),
+            held,
+        })
     }
 
     /// Whether most other machines of the zone are heard: then it is the machine that is silent,
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -284,4 +284,50 @@
             assert_eq!(held, expected, "at {version}");
         }
     }
+
+    /// A leader back from a cut took a new lease and, until the watch told it of its successor,
+    /// acted as leader again: it deleted twelve machines at work.
+    #[test]
+    fn the_end_of_our_lease_ends_our_offices_and_nobody_elses() {
+        let mut leases = Leases {
+            own: Own::Held {
+                permit: Permit(7),
+                until: Millis(9),
+            },
+            ..Leases::default()
+        };
+        leases.feed("jt/lead", Some(r#"{"leader":"n0"}"#), Revision(3));
+        leases.feed("jt/block/a.0", Some(r#"{"holder":"n0"}"#), Revision(4));
+        leases.feed("jt/block/a.1", Some(r#"{"holder":"n1"}"#), Revision(5));
+        let (n0, n1) = (NodeId::from("n0"), NodeId::from("n1"));
+        let (a0, a1) = (
+            BlockId::parse("a.0").unwrap(),
+            BlockId::parse("a.1").unwrap(),
+        );
+        leases.lose(&n0);
+        assert_eq!((leases.leads(&n0), leases.holds(&a0, &n0)), (None, None));
+        assert_eq!(leases.holds(&a1, &n1), Some(Token(5)));
+        assert_eq!(leases.own, Own::None);
+        // What others then do is heard as ever.
+        leases.feed("jt/lead", Some(r#"{"leader":"n1"}"#), Revision(8));
+        assert_eq!(leases.leads(&n1), Some(Revision(8)));
+        leases.lose(&n0);
+        assert_eq!(leases.leads(&n1), Some(Revision(8)));
+    }
+
+    #[test]
+    fn a_peer_supersedes_us_only_with_a_higher_token() {
+        let block = BlockId::parse("a.0").unwrap();
+        for (token, holder, taken) in [
+            (3, "n1", false),
+            (4, "n1", false),
+            (9, "n1", true),
+            (9, "n0", false),
+        ] {
+            let mut leases = Leases::default();
+            leases.feed("jt/block/a.0", Some(r#"{"holder":"n0"}"#), Revision(4));
+            let superseded = leases.supersede(&block, &holder.into(), Token(token));
+            assert_eq!(superseded, taken, "token {token} of {holder}");
+        }
+    }
 }
