Leases of 5 s

Cause: a controller that ends comes back after 3 or 8 s; with a lease of 8 s its blocks were without a holder nearly all that time, and moved twice within a second or two.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -140,8 +140,8 @@
             backoff_first: Millis(1_000),
             backoff_most: Millis(10_000),
             flush: Millis(30_000),
-            lease: Millis(8_000),
-            stop_before: Millis(2_000),
+            lease: Millis(5_000),
+            stop_before: Millis(1_500),
             blocks_per_zone: 2,
             idle_return: Millis(20_000),
         }
