Read bodies of unannounced length; name missing settings; mend a test

A new user's path through README showed that a chunked submission got 400 and that a missing field was named '.'. The test of the operator's file expected the lease of 8 s.

--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use futures_util::{Stream, StreamExt};
 use serde::Serialize;
 use tokio::sync::oneshot;
 use warp::http::StatusCode;
@@ -122,16 +123,43 @@
     } else {
         reason(
             StatusCode::BAD_REQUEST,
-            "the body can't be taken: larger than 64 KiB, or of unknown length",
+            "the body is too large, or ended early",
         )
     })
 }
 
+#[derive(Debug)]
+struct TooLarge;
+
+impl warp::reject::Reject for TooLarge {}
+
+/// The body, whether its length was announced or not, up to a limit.
+fn bounded(
+    limit: usize,
+) -> impl Filter<Extract = (Bytes,), Error = warp::Rejection> + Clone + Send + Sync + 'static {
+    warp::body::stream().and_then(move |stream| collect(stream, limit))
+}
+
+async fn collect(
+    stream: impl Stream<Item = Result<impl Buf, warp::Error>> + Send,
+    limit: usize,
+) -> Result<Bytes, warp::Rejection> {
+    let mut stream = std::pin::pin!(stream);
+    let mut body = BytesMut::new();
+    while let Some(part) = stream.next().await {
+        let part = part.map_err(|_| warp::reject::custom(TooLarge))?;
+        if body.len() + part.remaining() > limit {
+            return Err(warp::reject::custom(TooLarge));
+        }
+        body.put(part);
+    }
+    Ok(body.freeze())
+}
+
 pub async fn serve(address: SocketAddr, inbox: Inbox) -> anyhow::Result<()> {
     let inbox = Arc::new(inbox);
     let inbox = warp::any().map(move || Inbox::clone(&inbox));
-    let body =
-        || warp::body::content_length_limit(api::LARGEST_BODY as u64).and(warp::body::bytes());
+    let body = || bounded(api::LARGEST_BODY);
     let submit = warp::path!("api" / "jobs")
         .and(warp::post())
         .and(inbox.clone())
@@ -157,7 +185,7 @@
     let reports = warp::path!("v1" / "report")
         .and(warp::post())
         .and(inbox.clone())
-        .and(warp::body::content_length_limit(LARGEST_REPORT).and(warp::body::bytes()))
+        .and(bounded(LARGEST_REPORT))
         .and_then(report);
     let ready =
         warp::path!("ready")
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -232,8 +232,16 @@
     pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
         let mut json = serde_json::Deserializer::from_str(text);
         let settings: Self = serde_path_to_error::deserialize(&mut json).map_err(|e| {
-            let field = e.path().to_string();
-            problem(file, &field, e.into_inner())
+            let (path, reason) = (e.path().to_string(), e.inner().to_string());
+            // A field that is missing has no path of its own: its parent's and its name.
+            let missing = reason
+                .strip_prefix("missing field `")
+                .and_then(|r| r.split('`').next());
+            match missing {
+                Some(name) if path == "." => problem(file, name, "is missing"),
+                Some(name) => problem(file, &format!("{path}.{name}"), "is missing"),
+                None => problem(file, &path, reason),
+            }
         })?;
         settings.check(file)?;
         Ok(settings)
@@ -395,6 +403,12 @@
             ("/members/0/address", json!("nowhere"), "members[0].address"),
             ("/members/0/label", json!("n0"), "members"),
             ("/public_addr", Value::Null, "public_addr"),
+            (
+                "/deployment/quota",
+                json!({"cores": 1.0, "sockets": 1}),
+                "deployment.quota.mem_mb",
+            ),
+            ("/outside", json!({}), "outside.cloud"),
         ];
         for (path, value, field) in cases {
             let mut changed = settings();
@@ -420,7 +434,7 @@
             ("[queue]\nflush_s = soon\n", "[queue] flush_s"),
             ("[queue]\nflush_s = 0\n", "[queue] flush_s"),
             ("[queue]\nbackoff_first_s = 20\n", "[queue] backoff_most_s"),
-            ("[lease]\nlease_s = 3\n", "[lease] stop_before_s"),
+            ("[lease]\nlease_s = 2\n", "[lease] stop_before_s"),
             ("flush_s = 1\n", "[] flush_s"),
         ];
         for (text, field) in cases {
--- a/src/workers/wire.rs
+++ b/src/workers/wire.rs
@@ -5,7 +5,7 @@
 use crate::types::{Attempt, HostId, NodeId, Session, Sku, TaskId, Token, Zone};
 
 /// A worker's report may list this many bytes of tasks at the most.
-pub const LARGEST_REPORT: u64 = 1 << 20;
+pub const LARGEST_REPORT: usize = 1 << 20;
 
 #[derive(Clone, Debug, Deserialize)]
 pub struct Report {
