Keep the machine types in the state service

Cause: a controller that starts while the cloud is away knew no machine types, so it could neither take nor place a job. Found by reading, for the overlap of a cloud outage with a crash of all controllers.

Change: the leader notes the types in the state service; whoever starts reads them there. A test restarts all controllers without the cloud and sees all jobs accepted.

--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -4,11 +4,12 @@
 use std::collections::{BTreeMap, HashSet};
 
 use super::reports::WORD_HOLDS;
-use super::{Controller, Effect};
+use super::{Controller, Effect, Purpose};
 use crate::fleet::plan::{Bin, Headroom, Need, plan};
-use crate::fleet::{CloudAnswer, CloudCall, Fleet, Offer, Rented, Stage};
+use crate::fleet::{CloudAnswer, CloudCall, FLAVORS, Flavor, Fleet, Offer, Rented, Stage};
 use crate::jobs::cache::{Change, Evidence};
 use crate::jobs::{Rank, Shape};
+use crate::store::{Class, Txn};
 use crate::types::{HostId, JobId, Millis, Room};
 use crate::workers::block_of;
 
@@ -34,6 +35,8 @@
 impl Controller {
     pub(super) fn start_leading(&mut self) {
         self.fleet = Fleet::default();
+        // The next answer may have to be noted.
+        self.flavors_asked = Millis(0);
         self.drains.clear();
     }
 
@@ -578,6 +581,7 @@
                 if self.flavors.is_empty() {
                     tracing::info!(types = flavors.len(), "know the machine types");
                 }
+                self.keep_flavors(&flavors);
                 self.flavors = flavors;
             }
             (CloudCall::List { .. }, CloudAnswer::Page { hosts, more }) => {
@@ -658,6 +662,18 @@
         }
     }
 
+    /// Notes the machine types in the state service when they are new there.
+    fn keep_flavors(&mut self, flavors: &[Flavor]) {
+        if self.leading().is_some() && self.kept_flavors != flavors {
+            let mut txn = Txn::default();
+            txn.put(
+                FLAVORS.into(),
+                serde_json::to_string(flavors).unwrap_or_default(),
+            );
+            self.transact(Class::Rest, txn, Purpose::Note);
+        }
+    }
+
     /// A machine that was listed and is no more, nor heard, is gone.
     fn end_of_list(&mut self) {
         self.fleet.listing = false;
--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::{After, Controller, Purpose};
+use crate::fleet::FLAVORS;
 use crate::jobs::cache::{Jobs, Touched};
 use crate::lease::{self, BlockRecord, LEADER, LeaderRecord, Moved, NodeRecord, Own};
 use crate::queue::{self, Queue};
@@ -321,6 +322,15 @@
             *known = (*known).max(version);
             return;
         }
+        if key == FLAVORS {
+            self.kept_flavors = data
+                .and_then(|d| serde_json::from_str(d).ok())
+                .unwrap_or_default();
+            if self.flavors.is_empty() {
+                self.flavors.clone_from(&self.kept_flavors);
+            }
+            return;
+        }
         if let Some(moved) = self.leases.feed(key, data, version) {
             self.on_moved(moved);
             return;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -155,6 +155,8 @@
     Clear {
         job: JobId,
     },
+    /// Nobody waits for it.
+    Note,
 }
 
 /// The records that a transaction writes, or drops.
@@ -259,6 +261,8 @@
     drains_heard: Millis,
 
     flavors: Vec<Flavor>,
+    /// As the state service has them.
+    kept_flavors: Vec<Flavor>,
     flavors_asked: Millis,
     fleet: Fleet,
     fleet_ticked: Millis,
@@ -318,6 +322,7 @@
             drains: HashSet::new(),
             drains_heard: Millis(0),
             flavors: Vec::new(),
+            kept_flavors: Vec::new(),
             flavors_asked: Millis(0),
             fleet: Fleet::default(),
             fleet_ticked: Millis(0),
@@ -416,6 +421,7 @@
             Purpose::Abort { reply, job } => self.on_aborted(reply, job, answer),
             Purpose::Changes { job, changes } => self.on_changes(job, changes, answer),
             Purpose::Clear { job } => self.on_cleared(job, answer),
+            Purpose::Note => {}
         }
     }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,10 +7,12 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
+use serde::{Deserialize, Serialize};
+
 use crate::types::{HostId, Millis, Room, Sku, Zone};
 
 /// A machine type.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Flavor {
     pub sku: Sku,
     pub room: Room,
@@ -22,6 +24,9 @@
     pub zones: Vec<Zone>,
 }
 
+/// Where the leader keeps the machine types, for controllers that start while the cloud is away.
+pub const FLAVORS: &str = "jt/flavors";
+
 /// What can be rented: a type, in a zone, spot or ordinary.
 pub type Offer = (Sku, Zone, bool);
 
--- a/tests/cluster/main.rs
+++ b/tests/cluster/main.rs
@@ -206,3 +206,14 @@
     };
     assert_eq!(shown(0), shown(1));
 }
+
+/// Controllers that start while the cloud is away know the machine types from the state service.
+#[test]
+fn jobs_are_taken_after_a_restart_without_the_cloud() {
+    let mut world = World::new(1, mixed_jobs());
+    world.cloud_down.push((8_000, 200_000));
+    (0..NODES).for_each(|n| world.crash(n, 9_000, 2_000));
+    world.run_until(60_000);
+    assert_eq!(world.accepted.len(), world.jobs.len());
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
