Clean up: dead state, one look-up of a machine's type, one way to hand a job back

Removed: a hook for arrivals that did nothing, two fields of the fleet that nobody read, a comment of a field that is gone.

--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -47,9 +47,6 @@
         tag
     }
 
-    /// How much of a machine a newly accepted job of some urgency takes.
-    pub(super) fn note_arrival(&mut self, _id: &JobId) {}
-
     pub(super) fn keep_fleet(&mut self) {
         let pause = if self.flavors.is_empty() {
             RETRY
@@ -132,7 +129,6 @@
                     spot: machine.spot,
                     stage: Stage::Running,
                     since: self.now,
-                    listed: false,
                     seen: self.now,
                     idle: None,
                 });
@@ -160,11 +156,7 @@
         let lease = Millis::from_secs(self.settings.deployment.workers.lease_s + 4.0);
         let mut lost: Vec<HostId> = Vec::new();
         for (host, rented) in &self.fleet.hosts {
-            let boot = self
-                .flavors
-                .iter()
-                .find(|f| f.sku == rented.rig)
-                .map_or(60.0, |f| f.boot_s.max(5.0));
+            let boot = self.flavor(&rented.rig).map_or(60.0, |f| f.boot_s.max(5.0));
             let machine = self.machines.get(host);
             let parts = self.settings.operator.blocks_per_zone;
             let block = block_of(host, &rented.zone, parts);
@@ -245,7 +237,7 @@
         let mut bins = Vec::new();
         let mut draining_idle = Vec::new();
         for (host, rented) in &self.fleet.hosts {
-            let Some(flavor) = self.flavors.iter().find(|f| f.sku == rented.rig) else {
+            let Some(flavor) = self.flavor(&rented.rig) else {
                 continue;
             };
             let machine = self.machines.get(host);
@@ -268,7 +260,7 @@
             let kept = self
                 .nominations
                 .values()
-                .filter(|n| n.host == *host && n.until > self.now)
+                .filter(|n| n.host == *host && n.holds(self.now))
                 .fold(Room::default(), |sum, n| sum.plus(n.room));
             bins.push(Bin {
                 host: Some(host.clone()),
@@ -280,7 +272,7 @@
             });
         }
         for (offer, count) in self.fleet.renting.values() {
-            let flavor = self.flavors.iter().find(|f| f.sku == offer.0);
+            let flavor = self.flavor(&offer.0);
             for _ in 0..*count {
                 bins.extend(flavor.map(|flavor| Bin {
                     host: None,
@@ -305,7 +297,7 @@
             if self
                 .nominations
                 .get(&job.id)
-                .is_some_and(|n| n.until > self.now)
+                .is_some_and(|n| n.holds(self.now))
             {
                 // Its room is being made.
                 continue;
@@ -391,7 +383,7 @@
                 .machines
                 .get(host)
                 .is_some_and(|m| self.ours(m) || self.others(m));
-            let flavor = self.flavors.iter().find(|f| f.sku == rented.rig);
+            let flavor = self.flavor(&rented.rig);
             if let (true, Some(flavor)) = (usable, flavor) {
                 bins.push((
                     host.clone(),
@@ -475,7 +467,7 @@
                 _ => booting += 1,
             }
             spot += u32::from(rented.spot);
-            if let Some(flavor) = self.flavors.iter().find(|f| f.sku == rented.rig) {
+            if let Some(flavor) = self.flavor(&rented.rig) {
                 whole = whole.plus(flavor.room);
                 used = used.plus(self.jobs.taken(host));
             }
@@ -602,11 +594,9 @@
                             spot: listed.spot,
                             stage: listed.stage,
                             since: now - listed.age,
-                            listed: true,
                             seen: now,
                             idle: None,
                         });
-                    rented.listed = true;
                     rented.seen = now;
                     if listed.stage != Stage::Booting {
                         rented.stage = listed.stage;
@@ -638,7 +628,6 @@
                         spot: offer.2,
                         stage: Stage::Booting,
                         since: self.now,
-                        listed: false,
                         seen: self.now,
                         idle: None,
                     });
@@ -677,7 +666,6 @@
     /// A machine that was listed and is no more, nor heard, is gone.
     fn end_of_list(&mut self) {
         self.fleet.listing = false;
-        self.fleet.listed_at = Some(self.now);
         let lag = Millis::from_secs(self.settings.deployment.cloud.list_lag_s * 2.0 + 5.0);
         let now = self.now;
         let vanished: Vec<HostId> = self
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -198,6 +198,12 @@
     until: Millis,
 }
 
+impl Nomination {
+    fn holds(&self, now: Millis) -> bool {
+        self.until > now
+    }
+}
+
 /// What another controller said last.
 #[derive(Debug)]
 struct PeerState {
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -5,6 +5,7 @@
 
 use super::{Controller, Effect, Nomination};
 use crate::cycle::{self, Candidate};
+use crate::fleet::Flavor;
 use crate::jobs::cache::{Change, Job, Writing};
 use crate::jobs::{Placement, Rank, Shape};
 use crate::peers::{MachineView, Message, Status};
@@ -12,7 +13,8 @@
 use crate::queue::{Check, Event, Order};
 use crate::quota;
 use crate::types::{
-    Attempt, BlockId, HostId, JobId, Millis, NodeId, Revision, Room, Session, TaskId, Token, Zone,
+    Attempt, BlockId, HostId, JobId, Millis, NodeId, Revision, Room, Session, Sku, TaskId, Token,
+    Zone,
 };
 use crate::workers::reconcile::Stop;
 use crate::workers::{Machine, block_of};
@@ -99,8 +101,12 @@
         }
     }
 
+    pub(super) fn flavor(&self, rig: &Sku) -> Option<&Flavor> {
+        self.flavors.iter().find(|flavor| flavor.sku == *rig)
+    }
+
     fn whole(&self, machine: &Machine) -> Room {
-        let flavor = self.flavors.iter().find(|f| f.sku == machine.rig);
+        let flavor = self.flavor(&machine.rig);
         flavor.map(|f| f.room).unwrap_or_default()
     }
 
@@ -238,22 +244,25 @@
             }
             return false;
         }
-        let leader = self.leader().cloned();
         let asks = !self.handed.contains(id) && (elsewhere || critical);
-        match leader.filter(|_| asks) {
-            Some(to) => {
-                let job = id.to_string();
-                self.effects.push(Effect::Peer {
-                    to,
-                    message: Message::Unplaced { job },
-                });
-                // Tried here all the same if that leads to nothing.
-                let none = BTreeSet::new();
-                self.queue.fail(id, 0, none, order, self.now, &mut self.rng);
-                true
-            }
-            None => false,
+        if asks && self.hand_back(id) {
+            // Tried here all the same if that leads to nothing.
+            let none = BTreeSet::new();
+            self.queue.fail(id, 0, none, order, self.now, &mut self.rng);
+            return true;
         }
+        false
+    }
+
+    /// Tells the leader that a job does not fit our blocks, if there is one.
+    fn hand_back(&mut self, id: &JobId) -> bool {
+        let Some(to) = self.leader().cloned() else {
+            return false;
+        };
+        let job = id.to_string();
+        let message = Message::Unplaced { job };
+        self.effects.push(Effect::Peer { to, message });
+        true
     }
 
     /// No machine of ours will do.
@@ -261,7 +270,7 @@
         let blocked = checks.contains(&Check::Team) || checks.contains(&Check::Attempt);
         tracing::debug!(job = %id, fails, ?checks, "does not fit our blocks");
         let mut parked = checks;
-        let nominated = self.nominations.get(id).is_some_and(|n| n.until > self.now);
+        let nominated = self.nominations.get(id).is_some_and(|n| n.holds(self.now));
         if !blocked && !nominated {
             let asked = self.to_preempt.remove(id);
             if asked.is_some_and(|host| self.preempt(id, Where::On(host))) {
@@ -287,17 +296,9 @@
                         }
                     }
                 }
-            } else if let Some(leader) = self.leader().cloned() {
-                let message = Message::Unplaced {
-                    job: id.to_string(),
-                };
-                let to = leader;
-                self.effects.push(Effect::Peer { to, message });
-                if self
-                    .jobs
-                    .get(id)
-                    .is_none_or(|job| job.record.home != self.me)
-                {
+            } else if self.hand_back(id) {
+                let home = self.jobs.get(id).map(|job| &job.record.home);
+                if home != Some(&self.me) {
                     self.handed.remove(id);
                     return;
                 }
@@ -494,7 +495,7 @@
                 leaving,
             })
         };
-        let flavor = self.flavors.iter().find(|f| f.sku == machine.rig);
+        let flavor = self.flavor(&machine.rig);
         let fetch_s = flavor.map_or(0.0, |f| job.spec.image_gb / f.fetch_gb_per_s.max(0.01));
         let cached = machine.images.contains_key(&job.spec.image);
         Site {
@@ -517,7 +518,7 @@
             .filter(|(other, n)| {
                 n.host == machine.host
                     && *other != id
-                    && n.until > self.now
+                    && n.holds(self.now)
                     && self
                         .jobs
                         .get(other)
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -483,7 +483,7 @@
         self.move_replicas();
         let (now, jobs) = (self.now, &self.jobs);
         self.nominations
-            .retain(|id, n| n.until > now && jobs.get(id).is_some_and(|job| job.active()));
+            .retain(|id, n| n.holds(now) && jobs.get(id).is_some_and(|job| job.active()));
         self.to_preempt.retain(|id, _| jobs.get(id).is_some());
         self.machines
             .retain(|host, machine| now.since(machine.heard) < FORGET || jobs.busy(host));
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -67,9 +67,6 @@
 
     pub(super) fn on_submitted(&mut self, id: JobId, answer: Answer) {
         let replies = self.submitting.remove(&id).unwrap_or_default();
-        if matches!(answer, Answer::Committed(_)) {
-            self.note_arrival(&id);
-        }
         for reply in replies {
             match answer {
                 Answer::Committed(_) => self.tell(reply, Response::Accepted(id.clone())),
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -45,8 +45,6 @@
     pub spot: bool,
     pub stage: Stage,
     pub since: Millis,
-    /// Seen in a list.
-    pub listed: bool,
     /// When it was last in a list, or rented.
     pub seen: Millis,
     /// Since when it stands idle.
@@ -102,7 +100,6 @@
     pub hires: u64,
     pub logged: Millis,
     pub draining: BTreeMap<HostId, Millis>,
-    pub listed_at: Option<Millis>,
     pub list_started: Millis,
     pub listing: bool,
     pub page_seen: HashSet<HostId>,
--- a/src/jobs/cache.rs
+++ b/src/jobs/cache.rs
@@ -53,7 +53,6 @@
     /// When a task of it was last placed or taken off its machine.
     pub settled: Millis,
     pages: BTreeMap<u32, Page>,
-    /// Versions at which pages were dropped, so that an older put does not bring one back.
     pub placed: u32,
     pub done: u32,
     pub changes: BTreeMap<u32, Change>,
