Images on their way count for placement; spare machines cover fluctuation only

Cause: at the start no machine has an image, so tasks of many images were packed on one machine and shared its fetch rate; spare machines were counted as if nothing ever came free. Excluded: placement time, which is 2 s for 8 of 10 gangs.

--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -32,6 +32,8 @@
 const NEVER: f64 = 3.0;
 /// Arrivals of this long tell the rate.
 const WINDOW: Millis = Millis(180_000);
+/// Spare machines cover this many standard deviations of what comes and goes.
+const SPREAD: f64 = 1.5;
 /// The most machines one request may ask for.
 const MOST_RENTED: u32 = 50;
 const MOST_DELETED: usize = 100;
@@ -528,15 +530,17 @@
         let lead_s = flavor.boot_s + 8.0;
         [false, true]
             .map(|spot| {
-                let asked: f64 = self
-                    .arrivals
-                    .iter()
-                    .filter(|(_, _, s)| *s == spot)
-                    .map(|(_, share, _)| share)
-                    .sum();
+                let asked = self.arrivals.iter().filter(|(_, _, s)| *s == spot);
+                let (sum, squares) = asked.fold((0.0, 0.0), |(sum, squares), (_, share, _)| {
+                    (sum + share, squares + share * share)
+                });
+                // What comes while a machine boots; in a large fleet about as much comes free
+                // meanwhile, and only the fluctuation of both is to be covered.
+                let part = lead_s / WINDOW.secs();
+                let spread: f64 = (2.0 * squares * part).sqrt();
                 Headroom {
                     spot,
-                    machines: (asked / WINDOW.secs() * lead_s).round() as u32,
+                    machines: (sum * part).min(SPREAD * spread).round() as u32,
                     room: flavor.room,
                 }
             })
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -190,9 +190,18 @@
                 whole: self.whole(machine),
                 free: self.free_for(machine, id),
                 yielding: self.jobs.yielding(&machine.host),
+                fetching_s: self.fetching_s(machine),
             })
     }
 
+    fn fetching_s(&self, machine: &Machine) -> f64 {
+        if machine.coming.is_empty() {
+            return 0.0;
+        }
+        let rate = self.flavor(&machine.rig).map_or(1.0, |f| f.fetch_gb_per_s);
+        machine.coming_gb(self.now) / rate.max(0.01)
+    }
+
     /// Filters and scores the machines for the next task of a job.
     fn choose(
         &mut self,
@@ -489,12 +498,16 @@
             let (class, age) = (&job.spec.class, self.now.since(job.born).secs());
             tracing::debug!(job = %id, class, index, %host, cached, age, "reserved");
             let placement = Placement {
-                host,
+                host: host.clone(),
                 block: machine.block.clone(),
                 session: machine.session,
                 attempt,
             };
+            let (image, gb) = (job.spec.image.clone(), job.spec.image_gb);
             self.jobs.want(id, index, Change::Place(placement));
+            if let Some(machine) = self.machines.get_mut(&host) {
+                machine.expect_image(&image, gb, self.now);
+            }
         }
         Ok(())
     }
--- a/src/cycle.rs
+++ b/src/cycle.rs
@@ -15,10 +15,17 @@
     pub free: Room,
     /// Nothing here but work that gives way to urgent work: as good as an empty machine.
     pub yielding: bool,
+    /// Seconds until the images on their way here are there: fetches share the machine's rate.
+    pub fetching_s: f64,
 }
 
 /// Weights of the scores; each score lies between 0 and 1.
 const IMAGE: f64 = 5.0;
+/// The image is on its way for another task.
+const IMAGE_COMING: f64 = 4.0;
+/// Behind the fetches of other images: so much off a second, up to a most.
+const FETCH_SECOND: f64 = 0.2;
+const FETCHES_MOST: f64 = 3.0;
 const FULLNESS: f64 = 2.0;
 const SPOT: f64 = 1.5;
 const UNTRIED: f64 = 4.0;
@@ -74,12 +81,18 @@
 /// The weighted sum of the scores.
 pub fn score(spec: &Spec, candidate: &Candidate, failed_here: bool) -> f64 {
     let machine = candidate.machine;
-    let image = machine.images.contains_key(&spec.image);
+    let image = if machine.images.contains_key(&spec.image) {
+        IMAGE
+    } else if machine.coming.contains_key(&spec.image) {
+        IMAGE_COMING
+    } else {
+        -(FETCH_SECOND * candidate.fetching_s).min(FETCHES_MOST)
+    };
     let used = candidate.whole.minus(candidate.free).plus(spec.room);
     let spot_fits = machine.spot == spec.spot;
     let as_score = |yes: bool| f64::from(u8::from(yes));
     let breaks = candidate.yielding && !spec.yields() && spec.room.share_of(candidate.whole) < 0.5;
-    IMAGE * as_score(image)
+    image
         + FULLNESS * used.share_of(candidate.whole)
         + SPOT * as_score(spot_fits)
         + UNTRIED * as_score(!failed_here)
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -61,6 +61,8 @@
     pub direct: Direct,
     /// Images in the cache.
     pub images: HashMap<Image, Cached>,
+    /// Images that tasks placed here wait for, as far as we placed them.
+    pub coming: HashMap<Image, Cached>,
 }
 
 /// Orders sent to a worker without waiting for its report.
@@ -100,6 +102,9 @@
     }
 }
 
+/// An image that was not seen in use this long after a task was placed for it is not on its way.
+const EXPECTED: Millis = Millis(60_000);
+
 /// A machine is sick once tasks of this many jobs failed on it in a row.
 const SICK_AFTER: usize = 2;
 
@@ -126,6 +131,7 @@
             address: None,
             direct: Direct::default(),
             images: HashMap::default(),
+            coming: HashMap::default(),
         }
     }
 
@@ -161,6 +167,7 @@
     /// out must not draw tasks here.
     pub fn note_image(&mut self, image: &Image, gb: f64, cache_gb: f64, now: Millis) {
         let used = Cached { used: now, gb };
+        self.coming.remove(image);
         if self.images.insert(image.clone(), used).is_some() {
             return;
         }
@@ -176,6 +183,23 @@
         }
     }
 
+    /// A task that waits for an image was placed here.
+    pub fn expect_image(&mut self, image: &Image, gb: f64, now: Millis) {
+        self.coming
+            .retain(|_, coming| now.since(coming.used) < EXPECTED);
+        if !self.images.contains_key(image) {
+            let coming = Cached { used: now, gb };
+            self.coming.entry(image.clone()).or_insert(coming);
+        }
+    }
+
+    /// Gigabytes that are still to be fetched here.
+    pub fn coming_gb(&self, now: Millis) -> f64 {
+        let coming = self.coming.values();
+        let still = coming.filter(|coming| now.since(coming.used) < EXPECTED);
+        still.map(|coming| coming.gb).sum()
+    }
+
     /// Fit for new tasks, as far as its own condition goes.
     pub fn fit(&self, now: Millis, silence: Millis) -> bool {
         !self.warned
