--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -49,8 +49,8 @@
 enum Where {
     /// On this machine of ours.
     On(HostId),
-    /// Where the image is.
-    Cached,
+    /// Where the job would start soonest, if that is by stopping work rather than by a fetch.
+    Quickest,
     Anywhere,
 }
 
@@ -273,17 +273,27 @@
         }
     }
 
-    /// Whether a machine, ours or another's, has room and the job's image.
+    /// Whether a machine, ours or another's, has room and the job's image; for a gang, whether as
+    /// many as it needs do.
     fn cached(&mut self, id: &JobId, scope: Scope) -> bool {
         self.refresh_pool();
         let Some(job) = self.jobs.get(id) else {
             return false;
         };
         let asking = Asking::new(job, self.full_blocks(job, None));
-        self.candidates(id, scope, None).any(|candidate| {
-            cycle::filter(&asking, &candidate).is_none()
+        let mut cached = self.candidates(id, scope, None).filter(|candidate| {
+            cycle::filter(&asking, candidate).is_none()
                 && candidate.machine.images.contains_key(&job.spec.image)
-        })
+        });
+        if !job.whole_gang() {
+            return cached.next().is_some();
+        }
+        let mut zones: BTreeMap<Option<&Zone>, u32> = BTreeMap::new();
+        for candidate in cached {
+            let zone = job.spec.one_zone.then_some(&candidate.machine.zone);
+            *zones.entry(zone).or_default() += candidate.free.holds(job.spec.room);
+        }
+        zones.values().any(|tasks| *tasks >= job.record.tasks)
     }
 
     /// Fetching an image takes far longer than the way over the leader, or than stopping work that
@@ -293,11 +303,11 @@
         let Some(job) = self.jobs.get(id) else {
             return false;
         };
-        let critical = job.spec.rank == Rank::Critical;
-        if job.whole_gang() || self.cached(id, Scope::Own) {
+        let (urgent, gang) = (job.spec.rank >= Rank::Urgent, job.whole_gang());
+        if gang && self.leading().is_some() || self.cached(id, Scope::Own) {
             return false;
         }
-        let asked = if critical {
+        let asked = if urgent {
             self.to_preempt.remove(id)
         } else {
             None
@@ -306,20 +316,20 @@
             self.queue.expect_room(id, 0, order, self.now);
             return true;
         }
-        let elsewhere = self.cached(id, Scope::Others);
+        let elsewhere = !gang && self.cached(id, Scope::Others);
         if self.leading().is_some() {
             let room = BTreeSet::from([Check::Room]);
             if elsewhere {
                 self.not_placed(id, 0, room, order);
                 return true;
             }
-            if critical && self.preempt(id, Where::Cached) {
+            if urgent && self.preempt(id, Where::Quickest) {
                 self.queue.expect_room(id, 0, order, self.now);
                 return true;
             }
             return false;
         }
-        let asks = !self.handed.contains(id) && (elsewhere || critical);
+        let asks = !self.handed.contains(id) && (elsewhere || urgent);
         if asks && self.hand_back(id) {
             // Tried here all the same if that leads to nothing.
             let none = BTreeSet::new();
@@ -437,6 +447,23 @@
         } else {
             (Scope::Own, None)
         };
+        if count > 1 && scope == Scope::All && !self.pool.stale {
+            let hosts: Option<Vec<HostId>> = match self.nominations.of(id, self.now) {
+                Some(hosts) => Some(hosts.to_vec()),
+                None => match self.gang_offers(id) {
+                    Some(offers) if offers.iter().any(|offer| !offer.victims.is_empty()) => {
+                        return Err(BTreeSet::from([Check::Room]));
+                    }
+                    offers => offers.map(|o| o.into_iter().map(|offer| offer.host).collect()),
+                },
+            };
+            if hosts.is_some_and(|hosts| self.reserve_on(id, attempt, &hosts)) {
+                return Ok(());
+            }
+        }
+        let Some(job) = self.jobs.get(id) else {
+            return Ok(());
+        };
         let zones: Vec<Option<Zone>> = if job.spec.one_zone && count > 1 {
             self.zones_by_room(id, scope)
                 .into_iter()
@@ -463,6 +490,32 @@
         Err(rejected)
     }
 
+    /// Reserves these machines for a gang, if all have room for it.
+    fn reserve_on(&mut self, id: &JobId, attempt: Attempt, hosts: &[HostId]) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let asking = Asking::new(job, self.full_blocks(job, Some(job.record.tasks)));
+        let fits = |host: &HostId| {
+            self.machines.get(host).is_some_and(|m| {
+                let free = self.free_for(m, id);
+                (self.ours(m) || self.others(m))
+                    && asking.allows(m)
+                    && job.spec.room.fits_in(free)
+                    && job.spec.allows(&m.rig, &m.zone, m.spot)
+            })
+        };
+        let zone = |host: &HostId| self.machines.get(host).map(|m| m.zone.clone());
+        let together = !job.spec.one_zone || hosts.iter().all(|h| zone(h) == zone(&hosts[0]));
+        if hosts.len() != job.record.tasks as usize || !together || !hosts.iter().all(fits) {
+            return false;
+        }
+        for (index, host) in (0..).zip(hosts) {
+            self.reserve_at(id, index, attempt, host.clone());
+        }
+        true
+    }
+
     /// Zones in which all tasks of a gang find room, those with most of it first.
     fn zones_by_room(&mut self, id: &JobId, scope: Scope) -> Vec<Zone> {
         self.refresh_pool();
@@ -493,6 +546,11 @@
         raise: Option<u32>,
     ) -> Result<(), BTreeSet<Check>> {
         let host = self.choose(id, scope, zone, raise)?;
+        self.reserve_at(id, index, attempt, host);
+        Ok(())
+    }
+
+    fn reserve_at(&mut self, id: &JobId, index: u32, attempt: Attempt, host: HostId) {
         if let (Some(machine), Some(job)) = (self.machines.get(&host), self.jobs.get(id)) {
             let cached = machine.images.contains_key(&job.spec.image);
             let (class, age) = (&job.spec.class, self.now.since(job.born).secs());
@@ -509,7 +567,6 @@
                 machine.expect_image(&image, gb, self.now);
             }
         }
-        Ok(())
     }
 
     /// Whether a task may be stopped for the job.
@@ -561,10 +618,7 @@
             .values()
             .filter(|m| match &place {
                 Where::On(host) => m.host == *host && self.ours(m),
-                Where::Cached => {
-                    (self.ours(m) || self.others(m)) && m.images.contains_key(&job.spec.image)
-                }
-                Where::Anywhere => self.ours(m) || self.others(m),
+                Where::Quickest | Where::Anywhere => self.ours(m) || self.others(m),
             })
             .filter(|m| job.spec.allows(&m.rig, &m.zone, m.spot))
             .filter(|m| asking.zone_allowed(&m.zone))
@@ -574,6 +628,9 @@
         let Some((host, victims)) = preempt::choose(room, sites) else {
             return false;
         };
+        if matches!(place, Where::Quickest) && victims.is_empty() {
+            return false;
+        }
         tracing::info!(job = %id, %host, ?victims, "making room");
         let until = self.now + NOMINATED;
         self.nominations.add(id, &host, room, until);
@@ -609,22 +666,20 @@
         self.poke(host);
     }
 
-    /// Makes room for all tasks of a gang in one zone: on machines that are free, and on those
-    /// where stopping lower work wastes least. Each machine's holder does it and keeps the room.
-    fn make_room_for_gang(&mut self, id: &JobId) -> bool {
-        let Some(job) = self.jobs.get(id) else {
-            return false;
-        };
+    /// Where a gang would start soonest, all in one zone if it must: on machines that are free, and
+    /// on those where stopping lower work wastes less than a fetch.
+    fn gang_offers(&self, id: &JobId) -> Option<Vec<preempt::Offer>> {
+        let job = self.jobs.get(id)?;
         let guaranteed = !self.order(job).beyond_guarantee;
-        let (room, count) = (job.spec.room, job.record.tasks as usize);
-        let asking = Asking::new(job, Vec::new());
+        let (room, count) = (job.spec.room, job.record.tasks);
+        let asking = Asking::new(job, self.full_blocks(job, Some(count)));
         let mut zones: BTreeMap<Option<&Zone>, Vec<preempt::Offer>> = BTreeMap::new();
         for host in self.pool.own.iter().chain(&self.pool.others) {
             let Some(machine) = self.machines.get(host) else {
                 continue;
             };
             if !job.spec.allows(&machine.rig, &machine.zone, machine.spot)
-                || !asking.zone_allowed(&machine.zone)
+                || !asking.allows(machine)
             {
                 continue;
             }
@@ -632,7 +687,15 @@
             let offer = preempt::offer(room, &self.site(job, guaranteed, machine));
             zones.entry(zone).or_default().extend(offer);
         }
-        let Some(offers) = preempt::cheapest_set(zones.into_values(), count) else {
+        preempt::cheapest_set(zones.into_values(), count as usize)
+    }
+
+    /// Makes room for all tasks of a gang. Each machine's holder does it and keeps the room.
+    fn make_room_for_gang(&mut self, id: &JobId) -> bool {
+        let Some(offers) = self.gang_offers(id) else {
+            return false;
+        };
+        let Some(room) = self.jobs.get(id).map(|job| job.spec.room) else {
             return false;
         };
         tracing::info!(job = %id, hosts = ?offers.iter().map(|o| &o.host).collect::<Vec<_>>(),
--- a/src/cycle.rs
+++ b/src/cycle.rs
@@ -48,6 +48,11 @@
         Self { job, zones, full }
     }
 
+    /// Whether the machine's zone and block are open to the job.
+    pub fn allows(&self, machine: &Machine) -> bool {
+        self.zone_allowed(&machine.zone) && !self.full.contains(&machine.block)
+    }
+
     /// `oneZone` counts tasks of old attempts too, until they are proven gone; so does `spread`.
     pub fn zone_allowed(&self, zone: &Zone) -> bool {
         let spec = &self.job.spec;
