Gather ends, with their room free at once; drop old pages in quiet moments

Ends waited for nothing but their room. Now a task that was seen to have left frees its room in memory at once (it counts for its team and its zones until that is written), ends of a job are gathered for 3 s, and a job that is over costs one change instead of two or more.

--- a/src/controller/committing.rs
+++ b/src/controller/committing.rs
@@ -9,7 +9,9 @@
 use crate::jobs::cache::{Change, Evidence, Writing};
 use crate::jobs::record::{JobRecord, encode_page, job_key, page_key};
 use crate::jobs::{Phase, Placement, Task};
-use crate::lease::block_key;
+use crate::lease::{LEADER, block_key};
+use crate::quota;
+use crate::settings::TeamSettings;
 use crate::store::{Answer, Class, Txn};
 use crate::types::{BlockId, HostId, JobId, Millis, Revision};
 
@@ -20,10 +22,11 @@
 /// versions that others have changed since; what waits here is gathered instead, and written as
 /// it stands when its turn comes.
 const MOST_UNDER_WAY: usize = 3;
-/// Ends wait for placements that came this much later, and gather meanwhile.
-const ENDS_WAIT: Millis = Millis(1_500);
-/// Unless they are a job's last.
-const LAST_ENDS_WAIT: Millis = Millis(300);
+/// Ends are gathered for so long: changes are what the service's limit counts, and their room is
+/// free meanwhile.
+const GATHER: Millis = Millis(3_000);
+/// A team that uses this part of its limit waits for every end.
+const NEAR_LIMIT: f64 = 0.8;
 
 /// Jobs with changes to be written, by when it is their turn.
 #[derive(Debug, Default)]
@@ -46,8 +49,9 @@
         }
     }
 
-    fn next(&mut self) -> Option<JobId> {
-        if self.under_way >= MOST_UNDER_WAY {
+    fn next(&mut self, now: Millis) -> Option<JobId> {
+        let due = self.turns.first().is_some_and(|(turn, _)| *turn <= now);
+        if self.under_way >= MOST_UNDER_WAY || !due {
             return None;
         }
         let (_, id) = self.turns.pop_first()?;
@@ -63,20 +67,24 @@
         if job.writing != Writing::Idle || job.changes.is_empty() {
             return;
         }
-        let places = |change: &Change| matches!(change, Change::Place(_));
-        let wait = if job.changes.values().any(places) {
-            Millis(0)
-        } else if job.placed as usize <= job.changes.len() {
-            LAST_ENDS_WAIT
+        let ends = job.changes.values().all(Change::finishes);
+        let last = job.placed as usize <= job.changes.len();
+        let near = |team: &TeamSettings| {
+            let used = self.jobs.usage(&team.name).times(1.0 / NEAR_LIMIT);
+            !quota::within(used, team)
+        };
+        let waited_for = last || job.whole_gang() || self.limited(job).is_some_and(near);
+        let wait = if ends && !waited_for {
+            GATHER
         } else {
-            ENDS_WAIT
+            Millis(0)
         };
         self.unwritten.add(id, self.now + wait);
         self.write_next();
     }
 
     pub(super) fn write_next(&mut self) {
-        while let Some(id) = self.unwritten.next() {
+        while let Some(id) = self.unwritten.next(self.now) {
             self.write(&id);
         }
     }
@@ -192,11 +200,16 @@
         }
         let finished = changes.iter().filter(|(_, c)| c.finishes()).count() as u32;
         let complete = job.active() && job.done + finished == job.record.tasks;
-        let kept: Vec<u32> = job.page_keys().collect();
-        // The last task of a cancelled job has left: with it goes what is left of the job.
-        let cleared = !job.active() && job.placed as usize == changes.len() && kept.len() < ops;
-        if cleared {
+        // With the last task of a job that is over goes what is left of the job: its record needs
+        // no spec any more, and its pages are dropped when there is time.
+        let cleared = !job.active() && job.placed as usize == changes.len();
+        if complete || cleared {
             let record = JobRecord {
+                phase: if complete {
+                    Phase::Done
+                } else {
+                    job.record.phase
+                },
                 spec: None,
                 ..job.record.clone()
             };
@@ -204,30 +217,8 @@
                 job_key(id),
                 serde_json::to_string(&record).unwrap_or_default(),
             );
-            for page in &kept {
-                txn.require(page_key(id, *page), job.page_version(*page));
-                txn.drop_key(page_key(id, *page));
-            }
             pages.clear();
         }
-        if complete {
-            let over = pages.len().max(kept.len()) <= ops / 2;
-            let record = JobRecord {
-                phase: Phase::Done,
-                spec: (!over).then(|| job.spec.clone()),
-                ..job.record.clone()
-            };
-            txn.put(
-                job_key(id),
-                serde_json::to_string(&record).unwrap_or_default(),
-            );
-            if over {
-                pages.clear();
-                for page in kept {
-                    txn.drop_key(page_key(id, page));
-                }
-            }
-        }
         for (page, tasks) in pages {
             txn.put(page_key(id, page), encode_page(&tasks));
         }
@@ -299,36 +290,50 @@
         }
     }
 
-    /// Drops what is left of a job that is over once no task of it is anywhere.
+    /// Forgets the description of a job that is over once no task of it is anywhere.
     pub(super) fn clear(&mut self, id: &JobId) {
         let Some(job) = self.jobs.get(id) else { return };
         if job.active() || job.placed > 0 || job.writing != Writing::Idle {
             return;
         }
-        let ops = self.settings.deployment.state.txn_ops;
         let mut txn = Txn::default();
         txn.require(job_key(id), job.version);
-        let pages: Vec<u32> = job.page_keys().collect();
-        for page in pages.iter().take(ops - 1) {
-            txn.require(page_key(id, *page), job.page_version(*page));
-            txn.drop_key(page_key(id, *page));
-        }
-        if pages.len() < ops {
-            let record = JobRecord {
-                spec: None,
-                ..job.record.clone()
-            };
-            txn.put(
-                job_key(id),
-                serde_json::to_string(&record).unwrap_or_default(),
-            );
-        }
+        let record = JobRecord {
+            spec: None,
+            ..job.record.clone()
+        };
+        txn.put(
+            job_key(id),
+            serde_json::to_string(&record).unwrap_or_default(),
+        );
         if let Some(job) = self.jobs.get_mut(id) {
             job.writing = Writing::InFlight;
         }
         self.transact(Class::Rest, txn, Purpose::Clear { job: id.clone() });
     }
 
+    /// The leader drops pages of jobs that are over while there is nothing else to write. No
+    /// transaction can bring them back: all rest on the version of the job's record.
+    pub(super) fn drop_leftovers(&mut self) {
+        let quiet = self.unwritten.turns.is_empty() && self.unwritten.under_way == 0;
+        if !quiet || self.dropping || !self.may_place() {
+            return;
+        }
+        let ops = self.settings.deployment.state.txn_ops;
+        // Everyone sees the pages; one drops them.
+        let Some(lead) = self.leading() else { return };
+        let mut txn = Txn::default();
+        txn.require(LEADER.into(), lead);
+        for (id, page) in self.jobs.leftovers().take(ops) {
+            txn.drop_key(page_key(id, *page));
+        }
+        if txn.changes.is_empty() {
+            return;
+        }
+        self.dropping = true;
+        self.transact(Class::Rest, txn, Purpose::Dropped);
+    }
+
     pub(super) fn on_cleared(&mut self, id: JobId, answer: Answer) {
         if let Some(job) = self.jobs.get_mut(&id) {
             job.writing = Writing::Idle;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -157,6 +157,8 @@
     Clear {
         job: JobId,
     },
+    /// Pages of jobs that are over.
+    Dropped,
     /// New shares of the teams' limits.
     Deal,
     /// Makes sure that a transaction of unknown fate is not applied from now on.
@@ -337,6 +339,8 @@
     /// Jobs with changes that the cycles of this event noted.
     to_commit: Vec<JobId>,
     unwritten: committing::Unwritten,
+    /// Pages of jobs that are over are being dropped.
+    dropping: bool,
     /// Jobs that the leader wants room made for in our blocks.
     to_preempt: HashMap<JobId, HostId>,
     /// Jobs whose last task failed.
@@ -410,6 +414,7 @@
             pool: Pool::default(),
             to_commit: Vec::new(),
             unwritten: committing::Unwritten::default(),
+            dropping: false,
             to_preempt: HashMap::default(),
             failed_jobs: HashSet::default(),
             swept: Millis(0),
@@ -459,6 +464,7 @@
         self.queue.tick(self.now);
         self.keep_hearing();
         self.write_next();
+        self.drop_leftovers();
         self.void_unknown();
         self.keep_shares();
         self.notice_silence();
@@ -490,6 +496,7 @@
         if written.iter().any(|(key, _)| key.starts_with(SHARES)) {
             self.dealing += 1;
         }
+        tracing::debug!(?purpose, changes = written.len(), "writing");
         self.calls.insert(tag, (purpose, written));
         let call = Call::Txn(txn);
         self.effects.push(Effect::Store { tag, class, call });
@@ -525,6 +532,7 @@
             Purpose::Abort { reply, job } => self.on_aborted(reply, job, answer),
             Purpose::Changes { job, changes } => self.on_changes(job, changes, answer),
             Purpose::Clear { job } => self.on_cleared(job, answer),
+            Purpose::Dropped => self.dropping = false,
             Purpose::Deal => {}
             Purpose::Void { jobs, block } => self.on_void(jobs, block, answer),
             Purpose::Note => {}
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -303,7 +303,10 @@
             tracing::debug!(%job, %host, ?cause, "a task failed");
             self.failed_jobs.insert(job.clone());
         }
-        self.note_changes(outcome.changes);
+        if !outcome.changes.is_empty() {
+            self.note_changes(outcome.changes);
+            self.wake(queue::Event::Freed(host.clone()));
+        }
         outcome.orders
     }
 
--- a/src/controller/sharing.rs
+++ b/src/controller/sharing.rs
@@ -9,7 +9,7 @@
 use crate::store::{Answer, Class, Txn};
 use crate::types::{BlockId, JobId, Millis, Revision, Room};
 
-const DEAL_EVERY: Millis = Millis(2_000);
+const DEAL_EVERY: Millis = Millis(4_000);
 const VOID_EVERY: Millis = Millis(500);
 
 impl Controller {
--- a/src/jobs/cache.rs
+++ b/src/jobs/cache.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use rustc_hash::FxHashMap as HashMap;
+use rustc_hash::{FxHashMap as HashMap, FxHashSet as HashSet};
 
 use super::record::{JobRecord, decode_page, parse_page_key};
 use super::{Phase, Placement, Shape, Spec, Task};
@@ -69,6 +69,9 @@
     pub placed: u32,
     pub done: u32,
     pub changes: BTreeMap<u32, Change>,
+    /// Tasks that are known to have left their hosts, though that is not written yet: their room
+    /// is free, but they count for the team and for zones.
+    left: BTreeMap<u32, HostId>,
     pub writing: Writing,
 }
 
@@ -311,6 +314,8 @@
     reserved_by: HashMap<Team, Room>,
     /// Pages that came before their job's record.
     early: HashMap<JobId, BTreeMap<u32, (Revision, String)>>,
+    /// Pages of jobs that are over, of no use any more.
+    leftovers: HashSet<(JobId, u32)>,
 }
 
 impl Jobs {
@@ -322,6 +327,11 @@
         self.jobs.get_mut(id)
     }
 
+    /// Pages that nobody needs.
+    pub fn leftovers(&self) -> impl Iterator<Item = &(JobId, u32)> {
+        self.leftovers.iter()
+    }
+
     pub fn over(&self, id: &JobId) -> Option<JobState> {
         self.over.get(id).map(|over| JobState {
             id: id.clone(),
@@ -428,6 +438,7 @@
                     placed: 0,
                     done: 0,
                     changes: BTreeMap::new(),
+                    left: BTreeMap::new(),
                     writing: Writing::Idle,
                 };
                 self.jobs.insert(id.clone(), job);
@@ -449,6 +460,7 @@
             .unwrap_or_default();
         for page in pages {
             self.set_page(id, page, None);
+            self.leftovers.insert((id.clone(), page));
         }
         self.discard_changes(id);
         self.jobs.remove(id);
@@ -457,7 +469,9 @@
 
     pub fn feed_page(&mut self, id: &JobId, page: u32, text: &str, version: Revision) -> Touched {
         let Some(job) = self.jobs.get(id) else {
-            if !self.over.contains_key(id) {
+            if self.over.contains_key(id) {
+                self.leftovers.insert((id.clone(), page));
+            } else {
                 let pages = self.early.entry(id.clone()).or_default();
                 pages.insert(page, (version, text.to_string()));
             }
@@ -479,6 +493,7 @@
         if let Some(pages) = self.early.get_mut(id) {
             pages.remove(&page);
         }
+        self.leftovers.remove(&(id.clone(), page));
         match self.jobs.get(id) {
             Some(job) if job.page_version(page) < version => self.set_page(id, page, None),
             _ => Touched::default(),
@@ -517,7 +532,9 @@
                 Task::Placed(p) => {
                     job.placed -= 1;
                     *usage = usage.minus(job.spec.room);
-                    vacate(&mut self.uses, &p.host, &job.spec, true);
+                    if job.left.remove(&entry.1).is_none() {
+                        vacate(&mut self.uses, &p.host, &job.spec, true);
+                    }
                     leave(&mut self.in_block, &p.block, &job.spec);
                     if let Some(tasks) = self.on_host.get_mut(&p.host) {
                         tasks.remove(&entry);
@@ -549,8 +566,10 @@
         touched
     }
 
-    /// Notes a change to be committed. A placement reserves its room at once.
+    /// Notes a change to be committed. A placement reserves its room at once; that of a task that
+    /// has left is free at once.
     pub fn want(&mut self, id: &JobId, index: u32, change: Change) {
+        self.discard(id, &[index]);
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -559,39 +578,39 @@
             enter(&mut self.in_block, &placement.block, &job.spec);
             let reserved = self.reserved_by.entry(job.spec.team.clone()).or_default();
             *reserved = reserved.plus(job.spec.room);
+        } else if let Some(host) = job.task(index).placement().map(|p| p.host.clone()) {
+            vacate(&mut self.uses, &host, &job.spec, true);
+            job.left.insert(index, host);
         }
-        if let Some(Change::Place(given_up)) = job.changes.insert(index, change) {
-            vacate(&mut self.uses, &given_up.host, &job.spec, false);
-            leave(&mut self.in_block, &given_up.block, &job.spec);
-            let reserved = self.reserved_by.entry(job.spec.team.clone()).or_default();
-            *reserved = reserved.minus(job.spec.room);
-        }
+        job.changes.insert(index, change);
     }
 
-    /// Gives up noted changes, whether committed by now or not; returns the hosts they reserved.
-    pub fn discard(&mut self, id: &JobId, indices: &[u32]) -> Vec<HostId> {
-        let mut hosts = Vec::new();
+    /// Gives up noted changes, whether committed by now or not.
+    pub fn discard(&mut self, id: &JobId, indices: &[u32]) {
         let Some(job) = self.jobs.get_mut(id) else {
-            return hosts;
+            return;
         };
         for index in indices {
-            if let Some(Change::Place(placement)) = job.changes.remove(index) {
+            let change = job.changes.remove(index);
+            // Still placed by the records.
+            if let Some(host) = job.left.remove(index) {
+                occupy(&mut self.uses, &host, &job.spec, true);
+            }
+            if let Some(Change::Place(placement)) = change {
                 vacate(&mut self.uses, &placement.host, &job.spec, false);
                 leave(&mut self.in_block, &placement.block, &job.spec);
                 let reserved = self.reserved_by.entry(job.spec.team.clone()).or_default();
                 *reserved = reserved.minus(job.spec.room);
-                hosts.push(placement.host);
             }
         }
-        hosts
     }
 
-    pub fn discard_changes(&mut self, id: &JobId) -> Vec<HostId> {
+    pub fn discard_changes(&mut self, id: &JobId) {
         let indices: Vec<u32> = self
             .get(id)
             .map(|job| job.changes.keys().copied().collect())
             .unwrap_or_default();
-        self.discard(id, &indices)
+        self.discard(id, &indices);
     }
 
     /// Feeds a record from the state service; `None`: the key was dropped.
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -148,7 +148,7 @@
 /// The part of what a team leaves unused that is dealt out; the leader places out of the rest.
 const DEALT: f64 = 0.6;
 /// A share is left as it is until it is off by this part of a fair one.
-const OFF: f64 = 0.4;
+const OFF: f64 = 0.5;
 
 /// New shares of one amount. Raised only out of what no block can come to use as shares are now,
 /// so that a share that falls at the same time is not counted on yet.
