Reserve no more than can be written soon, and look again before writing

Now cycles stop while half a second's worth of changes waits, urgent work is written first, and a placement whose machine has no room any more is dropped.

--- a/src/controller/committing.rs
+++ b/src/controller/committing.rs
@@ -8,12 +8,12 @@
 use super::{After, Controller, Purpose};
 use crate::jobs::cache::{Change, Evidence, Writing};
 use crate::jobs::record::{JobRecord, encode_page, job_key, page_key};
-use crate::jobs::{Phase, Placement, Task};
+use crate::jobs::{Phase, Placement, Rank, Task};
 use crate::lease::{LEADER, block_key};
 use crate::quota;
 use crate::settings::TeamSettings;
 use crate::store::{Answer, Class, Txn};
-use crate::types::{BlockId, HostId, JobId, Millis, Revision};
+use crate::types::{BlockId, HostId, JobId, Millis, Revision, Room};
 
 /// Pages of one transaction: with 8 KiB each they stay below 64 KiB.
 const MOST_PAGES: usize = 6;
@@ -25,6 +25,8 @@
 /// Ends are gathered for so long: changes are what the service's limit counts, and their room is
 /// free meanwhile.
 const GATHER: Millis = Millis(3_000);
+/// Urgent work goes before other work that has waited up to so long.
+const URGENT_FIRST: Millis = Millis(2_000);
 /// A team that uses this part of its limit waits for every end.
 const NEAR_LIMIT: f64 = 0.8;
 
@@ -49,6 +51,12 @@
         }
     }
 
+    /// How many should have been written by now, up to `most`.
+    pub(super) fn overdue(&self, now: Millis, most: usize) -> usize {
+        let due = self.turns.iter().take_while(|(turn, _)| *turn <= now);
+        due.take(most).count()
+    }
+
     fn next(&mut self, now: Millis) -> Option<JobId> {
         let due = self.turns.first().is_some_and(|(turn, _)| *turn <= now);
         if self.under_way >= MOST_UNDER_WAY || !due {
@@ -74,12 +82,14 @@
             !quota::within(used, team)
         };
         let waited_for = last || job.whole_gang() || self.limited(job).is_some_and(near);
-        let wait = if ends && !waited_for {
-            GATHER
+        let turn = if ends && !waited_for {
+            self.now + GATHER
+        } else if job.spec.rank >= Rank::Urgent {
+            Millis(self.now.0.saturating_sub(URGENT_FIRST.0))
         } else {
-            Millis(0)
+            self.now
         };
-        self.unwritten.add(id, self.now + wait);
+        self.unwritten.add(id, turn);
         self.write_next();
     }
 
@@ -118,8 +128,14 @@
                 (Change::Place(placement), Task::Waiting { tried })
                     if job.active() && *tried < placement.attempt =>
                 {
+                    // Somebody else may have placed a task there since this one was reserved.
+                    let machine = self.machines.get(&placement.host).filter(|machine| {
+                        machine.session == placement.session
+                            && Room::default().fits_in(self.free(machine))
+                    });
                     let token = held(&placement.block);
                     let token = token.or_else(|| known(&placement.block).filter(|_| leads));
+                    let token = token.filter(|_| machine.is_some());
                     let next = Task::Placed(placement.clone());
                     token.map(|token| (next, Some((&placement.block, token))))
                 }
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -34,6 +34,8 @@
 /// What the leader wants emptied is kept so for this long after it was last heard.
 const DRAIN_HOLDS: Millis = Millis(15_000);
 
+/// Seconds of this controller's part of the state service's limit that are reserved ahead.
+const RESERVED_S: f64 = 0.5;
 /// The fleet is looked over again after this long.
 const POOL_HOLDS: Millis = Millis(200);
 
@@ -231,7 +233,16 @@
         if !self.may_place() || self.flavors.is_empty() {
             return;
         }
+        // What can't be written soon is better decided later: by then more is known, and what is
+        // more important goes first.
+        let state = &self.settings.deployment.state;
+        let controllers = (self.settings.members.len() + 1) as f64;
+        let most = (state.write_rps / controllers * RESERVED_S).ceil().max(4.0) as usize;
         for _ in 0..MOST_CYCLES {
+            let waiting = self.unwritten.overdue(self.now, most) + self.to_commit.len();
+            if waiting >= most {
+                break;
+            }
             let Some((id, fails)) = self.queue.pop() else {
                 break;
             };
