Headroom from the time arrivals were seen, two deviations of them

Cause: after all controllers crashed the new leader had seen no arrivals and kept 5 spare machines instead of 30, and gangs waited for boots. Excluded: placement.

--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -33,7 +33,9 @@
 /// Arrivals of this long tell the rate.
 const WINDOW: Millis = Millis(180_000);
 /// Spare machines cover this many standard deviations of what comes and goes.
-const SPREAD: f64 = 1.5;
+const SPREAD: f64 = 2.0;
+/// Arrivals seen for less time than this tell too little of their rate.
+const LEAST_SEEN: Millis = Millis(30_000);
 /// The most machines one request may ask for.
 const MOST_RENTED: u32 = 50;
 const MOST_DELETED: usize = 100;
@@ -518,6 +520,13 @@
             .collect()
     }
 
+    /// For how long arrivals have been seen: a controller that came back has seen few, but the
+    /// others' users went on asking.
+    fn seen_for(&self) -> Millis {
+        let seen = self.now.since(self.arrivals_since);
+        Millis(seen.0.clamp(LEAST_SEEN.0, WINDOW.0))
+    }
+
     /// Whole machines that should stand ready: what urgent work asks for while one boots.
     fn headroom(&self) -> Vec<Headroom> {
         let Some(flavor) = self
@@ -536,7 +545,7 @@
                 });
                 // What comes while a machine boots; in a large fleet about as much comes free
                 // meanwhile, and only the fluctuation of both is to be covered.
-                let part = lead_s / WINDOW.secs();
+                let part = lead_s / self.seen_for().secs();
                 let spread: f64 = (2.0 * squares * part).sqrt();
                 Headroom {
                     spot,
--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -244,6 +244,8 @@
                     self.applied = self.applied.max(start);
                     tracing::info!(revision = start.0, "read all records");
                     self.arrivals_until = self.now;
+                    self.arrivals_since = self.now;
+                    self.arrivals.clear();
                     self.reconsider_all();
                     self.keep_membership();
                     self.keep_following();
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -358,6 +358,7 @@
     /// When urgent work came, the share of a machine it takes, and whether spot ones will do.
     arrivals: Vec<(Millis, f64, bool)>,
     arrivals_until: Millis,
+    arrivals_since: Millis,
 
     peers: HashMap<NodeId, PeerState>,
     status_sent: Millis,
@@ -427,6 +428,7 @@
             fleet_ticked: Millis(0),
             arrivals: Vec::new(),
             arrivals_until: Millis(0),
+            arrivals_since: Millis(0),
             peers: HashMap::default(),
             status_sent: Millis(0),
             told: HashMap::default(),
