--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -18,8 +18,9 @@
 const EVERY: Millis = Millis(1_000);
 const LIST_EVERY: Millis = Millis(2_500);
 const FLAVORS_EVERY: Millis = Millis(60_000);
-/// A new holder has asked its machines after this long.
-const HOLDER_ASKS: Millis = Millis(5_000);
+/// After this long a new holder has asked its machines, and their workers, which give a silent
+/// controller 4 s, have found it over one or two others.
+const HOLDER_ASKS: Millis = Millis(10_000);
 /// Only a machine with this share of its room free is emptied.
 const EMPTY_ENOUGH: f64 = 0.4;
 /// Only this many of the emptiest machines are looked at each time.
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -362,6 +362,8 @@
 
     peers: HashMap<NodeId, PeerState>,
     status_sent: Millis,
+    /// When machines were heard that others speak of and that we know nothing else of yet.
+    heard_of: HashMap<HostId, Millis>,
     /// What the others were told of each machine, as a hash.
     told: HashMap<HostId, u64>,
 }
@@ -431,6 +433,7 @@
             arrivals_since: Millis(0),
             peers: HashMap::default(),
             status_sent: Millis(0),
+            heard_of: HashMap::default(),
             told: HashMap::default(),
             settings,
         }
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -29,6 +29,8 @@
 /// Room is kept this long for the job that it was made for.
 const NOMINATED: Millis = Millis(20_000);
 const STATUS_EVERY: Millis = Millis(1_000);
+/// What others said of a machine that nobody described is of no use after this long.
+const HEARD_OF: Millis = Millis(120_000);
 /// Each machine is described again once in this many statuses, whether it changed or not.
 const TOLD_AGAIN: u64 = 8;
 /// What the leader wants emptied is kept so for this long after it was last heard.
@@ -892,8 +894,10 @@
         }
         for pulse in status.machines {
             let host = HostId::from(pulse.host);
-            // One that we know nothing of yet is described soon.
+            // One that we know nothing of yet is described soon. Until then it must not be taken
+            // for one that its holder never heard.
             let Some(machine) = self.machines.get_mut(&host) else {
+                self.heard_of.insert(host, now - Millis(pulse.silent_ms));
                 continue;
             };
             if self.leases.holds(&machine.block, &self.me).is_some() {
@@ -970,7 +974,9 @@
                 });
             }
         }
-        let known = &self.machines;
+        let (known, now) = (&self.machines, self.now);
+        self.heard_of
+            .retain(|host, heard| !known.contains_key(host) && now.since(*heard) < HEARD_OF);
         self.told.retain(|host, _| known.contains_key(host));
         let draining = if self.leading().is_some() {
             self.drains.iter().map(|host| host.to_string()).collect()
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -113,7 +113,9 @@
             .moved
             .get(block)
             .map_or(self.now, |at| self.now.since(*at));
-        let heard = self.machines.get(host).map_or(Millis(0), |m| m.heard);
+        let known = self.machines.get(host).map(|m| m.heard);
+        let heard = known.or(self.heard_of.get(host).copied());
+        let heard = heard.unwrap_or_default();
         let can_tell = if *holder == self.me {
             self.hears && self.now.since(self.last_report) <= self.silence()
         } else {
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -365,4 +365,40 @@
             assert_eq!(got, (spot, ordinary, released), "case {index}");
         }
     }
+
+    /// Tasks of a gang that must be in one zone were counted as served by machines in several.
+    #[test]
+    fn a_gang_in_one_zone_gets_its_machines_there() {
+        let mut gang = spec(8.0, false);
+        (gang.shape, gang.one_zone) = (Shape::Gang, true);
+        let there = |name: &str, zone: &str| Bin {
+            offer: ("g8".into(), zone.into(), false),
+            ..bin(name, false, 8.0, 0)
+        };
+        let cases = [
+            // machines, tasks, rented in a, rented in b
+            (vec![], 4, 4, 0),
+            (vec![there("vm-1", "a"), there("vm-2", "b")], 2, 0, 1),
+            (
+                vec![there("vm-1", "a"), there("vm-2", "a"), there("vm-3", "b")],
+                3,
+                1,
+                0,
+            ),
+            (vec![there("vm-1", "b"), there("vm-2", "b")], 2, 0, 0),
+        ];
+        for (bins, count, in_a, in_b) in cases {
+            let needs = [Need {
+                spec: &gang,
+                count,
+                spot_only: false,
+            }];
+            let plan = plan(bins, &needs, &[], &flavors(), |_| false, Millis(20_000));
+            let rented = |zone: &str| -> u32 {
+                let of = plan.rent.iter().filter(|(o, _)| o.1.as_str() == zone);
+                of.map(|(_, n)| n).sum()
+            };
+            assert_eq!((rented("a"), rented("b")), (in_a, in_b), "{count} tasks");
+        }
+    }
 }
