Take up jobs handed over before the watch brought them

Cause: a home hands a job to the leader right after it is committed; the message is faster than the leader's watch, which now pauses 66 to 166 ms, so the leader did not know the job, dropped the message, and the home tried again after its back-off: half of the gangs were placed after 1.1 s, services likewise. Excluded: cycles and the state service, which took milliseconds. Now the leader remembers the hand-over for 10 s.

--- a/src/controller/committing.rs
+++ b/src/controller/committing.rs
@@ -361,7 +361,7 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub(super) mod tests {
     use std::sync::Arc;
 
     use super::*;
@@ -384,7 +384,7 @@
     }
 
     /// A controller that holds block a.0 under token 5 and knows one machine there and one in b.0.
-    fn controller(spec: Spec, tasks: Vec<Task>) -> (Controller, JobId) {
+    pub fn controller(spec: Spec, tasks: Vec<Task>) -> (Controller, JobId) {
         let settings = Settings::parse("f", &settings().to_string()).unwrap();
         let mut controller = Controller::new(Arc::new(settings), 1);
         controller.synced = true;
--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -399,6 +399,9 @@
         let Some(id) = touched.job else { return };
         if self.synced {
             self.consider(&id);
+            if self.handed_early.remove(&id).is_some() {
+                self.take_over(&id);
+            }
         }
         let team = self.jobs.get(&id).map(|job| job.spec.team.clone());
         let unwanted: BTreeSet<HostId> = self
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -332,6 +332,8 @@
 
     queue: Queue,
     handed: HashSet<JobId>,
+    /// Handed over, since when, before the watch brought them.
+    handed_early: HashMap<JobId, Millis>,
     machines: HashMap<HostId, Machine>,
     stops: Stops,
     nominations: Nominations,
@@ -411,6 +413,7 @@
             fresh: Freshness::default(),
             queue,
             handed: HashSet::default(),
+            handed_early: HashMap::default(),
             machines: HashMap::default(),
             stops: Stops::default(),
             nominations: Nominations::default(),
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -842,8 +842,13 @@
         }
     }
 
-    fn take_over(&mut self, id: &JobId) {
-        let Some(job) = self.jobs.get(id) else { return };
+    /// Takes a job over that was handed to us; as soon as it is known, if a message was faster
+    /// than the watch.
+    pub(super) fn take_over(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else {
+            self.handed_early.insert(id.clone(), self.now);
+            return;
+        };
         if job.active() && job.waiting() > 0 {
             let order = self.order(job);
             self.handed.insert(id.clone());
@@ -1004,3 +1009,40 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::controller::committing::tests::controller;
+    use crate::jobs::Task;
+    use crate::jobs::api::{parse, tests::body};
+    use crate::jobs::record::job_key;
+
+    /// A message between controllers takes a millisecond, the watch up to a pause of its own: jobs
+    /// that were handed to the leader at once were unknown there, and waited a second.
+    #[test]
+    fn a_job_that_is_handed_over_before_it_is_known_is_taken_when_it_is() {
+        for (known_after, queued) in [(100, true), (60_000, false)] {
+            let (_, spec) = parse(body().to_string().as_bytes()).unwrap();
+            let (mut controller, known) = controller(spec, vec![Task::FRESH; 8]);
+            controller.feed("jt/lead", Some(r#"{"leader":"n0"}"#), Revision(8));
+            let record = serde_json::to_string(&controller.jobs.get(&known).unwrap().record);
+            let job = "job-9".to_string();
+            let id = JobId::from(job.clone());
+            controller.on_peer("n1".into(), Message::Unplaced { job });
+            assert!(!controller.queue.contains(&id));
+            controller.now = Millis(known_after);
+            controller.notice_silence();
+            let record = record.unwrap().replace("\"n0\"", "\"n1\"");
+            // Its home is there, so nothing but the hand-over makes it ours.
+            let node = r#"{"permit":2,"zone":"a","hears":true}"#;
+            controller.feed("jt/node/n1", Some(node), Revision(9));
+            controller.feed(&job_key(&id), Some(&record), Revision(10));
+            assert_eq!(
+                controller.queue.contains(&id),
+                queued,
+                "after {known_after}"
+            );
+        }
+    }
+}
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -19,6 +19,8 @@
 const MOVE_EVERY: Millis = Millis(20_000);
 /// A replica that just started is left where it is for this long.
 const LONG_ENOUGH: Millis = Millis(40_000);
+/// A job that was handed over and stays unknown for this long is forgotten.
+const HANDED_EARLY: Millis = Millis(10_000);
 /// How often a controller that hears nobody asks a worker.
 const INSPECT_EVERY: Millis = Millis(2_000);
 /// What another controller said holds for this long.
@@ -520,6 +522,8 @@
             self.nominations.remove(&id);
         }
         self.to_preempt.retain(|id, _| jobs.get(id).is_some());
+        self.handed_early
+            .retain(|_, since| now.since(*since) < HANDED_EARLY);
         self.machines
             .retain(|host, machine| now.since(machine.heard) < FORGET || jobs.busy(host));
         self.reconsider_all();
