Clean up: one way to write a record, one count of controllers, dead fields and a dead loop

Txn::put encodes records itself, so its callers no longer do each on their own; Settings::controllers counts them for all; a cleared job needs one transaction, so nothing follows it; two fields of the fleet that nobody read are gone; what peers were told is hashed by one call. No change of behaviour.

--- a/src/controller/committing.rs
+++ b/src/controller/committing.rs
@@ -229,14 +229,11 @@
                 spec: None,
                 ..job.record.clone()
             };
-            txn.put(
-                job_key(id),
-                serde_json::to_string(&record).unwrap_or_default(),
-            );
+            txn.put(job_key(id), &record);
             pages.clear();
         }
         for (page, tasks) in pages {
-            txn.put(page_key(id, page), encode_page(&tasks));
+            txn.put_text(page_key(id, page), encode_page(&tasks), None);
         }
         self.jobs.discard(id, &stale);
         if changes.is_empty() {
@@ -318,10 +315,7 @@
             spec: None,
             ..job.record.clone()
         };
-        txn.put(
-            job_key(id),
-            serde_json::to_string(&record).unwrap_or_default(),
-        );
+        txn.put(job_key(id), &record);
         if let Some(job) = self.jobs.get_mut(id) {
             job.writing = Writing::InFlight;
         }
@@ -350,13 +344,10 @@
         self.transact(Class::Rest, txn, Purpose::Dropped);
     }
 
-    pub(super) fn on_cleared(&mut self, id: JobId, answer: Answer) {
+    pub(super) fn on_cleared(&mut self, id: JobId) {
         if let Some(job) = self.jobs.get_mut(&id) {
             job.writing = Writing::Idle;
         }
-        if matches!(answer, Answer::Committed(_)) {
-            self.clear(&id);
-        }
     }
 }
 
--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -82,7 +82,6 @@
         if !self.fleet.listing && self.now.since(self.fleet.list_started) >= LIST_EVERY {
             self.fleet.listing = true;
             self.fleet.list_started = self.now;
-            self.fleet.page_seen.clear();
             self.call_cloud(CloudCall::List { after: None });
         }
         self.adopt_reporting();
@@ -587,7 +586,6 @@
             (CloudCall::List { .. }, CloudAnswer::Page { hosts, more }) => {
                 let last = hosts.last().map(|listed| listed.host.clone());
                 for listed in hosts {
-                    self.fleet.page_seen.insert(listed.host.clone());
                     if self.fleet.gone.contains(&listed.host) {
                         continue;
                     }
@@ -663,10 +661,7 @@
     fn keep_flavors(&mut self, flavors: &[Flavor]) {
         if self.leading().is_some() && self.kept_flavors != flavors {
             let mut txn = Txn::default();
-            txn.put(
-                FLAVORS.into(),
-                serde_json::to_string(flavors).unwrap_or_default(),
-            );
+            txn.put(FLAVORS.into(), flavors);
             self.transact(Class::Rest, txn, Purpose::Note);
         }
     }
--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -21,10 +21,6 @@
 const WATCH_PROVES: Millis = Millis(250);
 const RETRY: Millis = Millis(300);
 
-fn json(value: &impl serde::Serialize) -> String {
-    serde_json::to_string(value).unwrap_or_default()
-}
-
 impl Controller {
     pub(super) fn keep_membership(&mut self) {
         if !self.synced {
@@ -101,7 +97,7 @@
         };
         let mut txn = Txn::default();
         txn.require(key.clone(), version);
-        txn.put_leased(key, json(&record), permit);
+        txn.put_leased(key, &record, permit);
         self.transact(Class::Leases, txn, Purpose::Register);
     }
 
@@ -115,7 +111,7 @@
             };
             let mut txn = Txn::default();
             txn.require(LEADER.into(), Revision(0));
-            txn.put_leased(LEADER.into(), json(&record), permit);
+            txn.put_leased(LEADER.into(), &record, permit);
             self.transact(Class::Leases, txn, Purpose::Lead);
         }
         if let Some(version) = self.leading() {
@@ -146,7 +142,7 @@
             let key = lease::block_key(&block);
             txn.require(key.clone(), known);
             txn.require(lease::node_key(&node), *version);
-            txn.put_leased(key, json(&BlockRecord { holder: node }), record.permit);
+            txn.put_leased(key, &BlockRecord { holder: node }, record.permit);
         }
         if !txn.changes.is_empty() {
             self.busy_membership.insert("assign");
@@ -309,7 +305,7 @@
     /// Between two busy watches.
     fn watch_pause(&self) -> Millis {
         let rate = self.settings.deployment.state.rps * WATCHES;
-        let count = (self.settings.members.len() + 1) as f64;
+        let count = self.settings.controllers() as f64;
         Millis::from_secs((count / rate).min(1.0))
     }
 
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -539,7 +539,7 @@
             Purpose::Submit { job } => self.on_submitted(job, answer),
             Purpose::Abort { reply, job } => self.on_aborted(reply, job, answer),
             Purpose::Changes { job, changes } => self.on_changes(job, changes, answer),
-            Purpose::Clear { job } => self.on_cleared(job, answer),
+            Purpose::Clear { job } => self.on_cleared(job),
             Purpose::Dropped => self.dropping = false,
             Purpose::Deal => {}
             Purpose::Void { jobs, block } => self.on_void(jobs, block, answer),
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -2,9 +2,9 @@
 //! not fit goes to the leader.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::hash::{Hash, Hasher};
+use std::hash::BuildHasher;
 
-use rustc_hash::FxHasher;
+use rustc_hash::FxBuildHasher;
 
 use super::{Controller, Effect, Pool};
 use crate::cycle::{self, Asking, Candidate};
@@ -238,7 +238,7 @@
         // What can't be written soon is better decided later: by then more is known, and what is
         // more important goes first.
         let state = &self.settings.deployment.state;
-        let controllers = (self.settings.members.len() + 1) as f64;
+        let controllers = self.settings.controllers() as f64;
         let most = (state.write_rps / controllers * RESERVED_S).ceil().max(4.0) as usize;
         for _ in 0..MOST_CYCLES {
             let waiting = self.unwritten.overdue(self.now, most) + self.to_commit.len();
@@ -311,7 +311,7 @@
 
     /// Fetching an image takes far longer than the way over the leader, or than stopping work that
     /// gives way: where our blocks lack the image, a job is placed where it is, and room is made
-    /// there for a critical one. False: the ordinary cycle goes on.
+    /// there for an urgent one. False: the ordinary cycle goes on.
     fn quicker(&mut self, id: &JobId, order: Order) -> bool {
         let Some(job) = self.jobs.get(id) else {
             return false;
@@ -955,20 +955,16 @@
                 sick: machine.sick,
                 draining: self.drains.contains(&machine.host),
             });
-            let mut state = FxHasher::default();
-            machine.address.hash(&mut state);
             // The same images in any order give the same sum.
-            let sum = machine.images.keys().map(|image| {
-                let mut state = FxHasher::default();
-                image.hash(&mut state);
-                state.finish()
-            });
-            sum.fold(0u64, u64::wrapping_add).hash(&mut state);
-            let changed =
-                self.told.insert(machine.host.clone(), state.finish()) != Some(state.finish());
-            let mut state = FxHasher::default();
-            machine.host.hash(&mut state);
-            if changed || state.finish() % TOLD_AGAIN == round {
+            let images = machine
+                .images
+                .keys()
+                .map(|image| FxBuildHasher.hash_one(image));
+            let images = images.fold(0u64, u64::wrapping_add);
+            let state = FxBuildHasher.hash_one((machine.address, images));
+            let changed = self.told.insert(machine.host.clone(), state) != Some(state);
+            let turn = FxBuildHasher.hash_one(&machine.host) % TOLD_AGAIN;
+            if changed || turn == round {
                 views.push(MachineView {
                     host: machine.host.to_string(),
                     address: machine.address.map(|a| a.to_string()).unwrap_or_default(),
--- a/src/controller/sharing.rs
+++ b/src/controller/sharing.rs
@@ -120,10 +120,7 @@
                 break;
             }
             txn.require(share_key(&block), self.shares.version(&block));
-            txn.put(
-                share_key(&block),
-                serde_json::to_string(&record).unwrap_or_default(),
-            );
+            txn.put(share_key(&block), &record);
         }
         self.transact(Class::Jobs, txn, Purpose::Deal);
     }
@@ -155,10 +152,7 @@
             let room = job.spec.room.times(f64::from(*tasks));
             let record = self.shares.record(block);
             let record = quota::raise(record, &team.name, used.minus(room), room);
-            txn.put(
-                share_key(block),
-                serde_json::to_string(&record).unwrap_or_default(),
-            );
+            txn.put(share_key(block), &record);
         }
         true
     }
@@ -191,10 +185,7 @@
             let mut txn = Txn::default();
             let record = self.shares.record(&block);
             txn.require(share_key(&block), self.shares.version(&block));
-            txn.put(
-                share_key(&block),
-                serde_json::to_string(&record).unwrap_or_default(),
-            );
+            txn.put(share_key(&block), &record);
             self.transact(Class::Jobs, txn, Purpose::Void { jobs, block });
         }
     }
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -42,7 +42,7 @@
         }
         // More are on their way to the state service than it takes in a moment.
         let deployment = &self.settings.deployment;
-        let controllers = (self.settings.members.len() + 1) as f64;
+        let controllers = self.settings.controllers() as f64;
         let wait_s = self.submitting.len() as f64 * controllers / deployment.state.write_rps;
         if wait_s > MOST_WAIT_S {
             tracing::debug!(job = %id, wait_s, "too many submissions wait");
@@ -68,10 +68,7 @@
         };
         let mut txn = Txn::default();
         txn.require(job_key(&id), Revision(0));
-        txn.put(
-            job_key(&id),
-            serde_json::to_string(&record).unwrap_or_default(),
-        );
+        txn.put(job_key(&id), &record);
         self.submitting.insert(id.clone(), vec![reply]);
         self.transact(Class::Users, txn, Purpose::Submit { job: id });
     }
@@ -132,10 +129,7 @@
         };
         let mut txn = Txn::default();
         txn.require(job_key(&id), job.version);
-        txn.put(
-            job_key(&id),
-            serde_json::to_string(&record).unwrap_or_default(),
-        );
+        txn.put(job_key(&id), &record);
         self.transact(Class::Users, txn, Purpose::Abort { reply, job: id });
     }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -100,8 +100,6 @@
     pub renting: HashMap<u64, (Offer, u32)>,
     pub hires: u64,
     pub logged: Millis,
-    pub draining: BTreeMap<HostId, Millis>,
     pub list_started: Millis,
     pub listing: bool,
-    pub page_seen: HashSet<HostId>,
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -229,6 +229,11 @@
         Ok(settings)
     }
 
+    /// How many controllers there are, this one included.
+    pub fn controllers(&self) -> usize {
+        self.members.len() + 1
+    }
+
     pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
         let mut json = serde_json::Deserializer::from_str(text);
         let settings: Self = serde_path_to_error::deserialize(&mut json).map_err(|e| {
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -61,7 +61,7 @@
     ) -> Self {
         let (inbox, requests) = mpsc::unbounded_channel();
         let now = clock.now();
-        let (state, count) = (&settings.deployment.state, settings.members.len() + 1);
+        let (state, count) = (&settings.deployment.state, settings.controllers());
         let actor = Actor {
             client: HttpClient::new(settings.outside.state),
             requests_left: Share::new(state.rps, count, now),
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -6,6 +6,7 @@
 
 pub use client::{Store, StoreAnswer};
 
+use serde::Serialize;
 use serde_json::value::RawValue;
 
 use crate::types::{Permit, Revision};
@@ -36,6 +37,10 @@
     },
 }
 
+fn json(record: &(impl Serialize + ?Sized)) -> String {
+    serde_json::to_string(record).unwrap_or_default()
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Txn {
     /// Keys with the version each must have; zero: it must not exist.
@@ -50,20 +55,17 @@
         }
     }
 
-    pub fn put(&mut self, key: String, data: String) {
-        self.changes.push(Change::Put {
-            key,
-            data,
-            permit: None,
-        });
+    pub fn put(&mut self, key: String, record: &(impl Serialize + ?Sized)) {
+        self.put_text(key, json(record), None);
+    }
+
+    pub fn put_leased(&mut self, key: String, record: &(impl Serialize + ?Sized), permit: Permit) {
+        self.put_text(key, json(record), Some(permit));
     }
 
-    pub fn put_leased(&mut self, key: String, data: String, permit: Permit) {
-        self.changes.push(Change::Put {
-            key,
-            data,
-            permit: Some(permit),
-        });
+    /// Puts what is JSON already.
+    pub fn put_text(&mut self, key: String, data: String, permit: Option<Permit>) {
+        self.changes.push(Change::Put { key, data, permit });
     }
 
     pub fn drop_key(&mut self, key: String) {
