A gang's task that waited alone waits again where it is while others fetch

Cause: with fetches of a minute and more, tasks of a gang have their images far apart (a third more or less of the rate, some machines warm, some not). Excluded: room (machines stood idle meanwhile).

Change: such a task is forgotten and started again with the same attempt by the answer to its report, as long as the gang is whole and a fetch may still be under way.

--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 
+use rustc_hash::FxHashSet as HashSet;
+
 use super::{Controller, DirectAnswer, Effect};
 use crate::jobs::Shape;
-use crate::jobs::cache::{Change, Evidence};
+use crate::jobs::cache::{Change, Evidence, Job};
 use crate::queue;
 use crate::types::{
     Attempt, BlockId, HostId, JobId, Millis, ReplyId, Session, TaskId, Token, Zone,
@@ -25,6 +27,9 @@
 const INSPECT_EVERY: Millis = Millis(2_000);
 /// What another controller said holds for this long.
 pub(super) const WORD_HOLDS: Millis = Millis(3_000);
+/// Machines that fetch several images share their rate: this many times its own duration is the
+/// most that a fetch is waited for.
+const FETCHES_LAST: f64 = 4.0;
 /// A machine without tasks that nobody has heard for this long is forgotten.
 const FORGET: Millis = Millis(120_000);
 
@@ -221,8 +226,22 @@
         if !heard || !self.may_answer() {
             return;
         }
-        let mut orders = reconcile(machine, token, &self.jobs, &self.stops).orders;
-        orders.retain(|order| !matches!(order, Order::Forget { .. }));
+        let gathering = |job: &Job| self.gathering(job);
+        let mut orders = reconcile(machine, token, &self.jobs, &self.stops, gathering).orders;
+        // An attempt is forgotten, and one that waited alone is started once more, only by the
+        // answer to a report: direct orders may come minutes late.
+        let forgotten: HashSet<TaskId> = orders
+            .iter()
+            .filter_map(|order| match order {
+                Order::Forget { task, .. } => Some(task.clone()),
+                _ => None,
+            })
+            .collect();
+        orders.retain(|order| match order {
+            Order::Forget { .. } => false,
+            Order::Start { task, .. } => !forgotten.contains(task),
+            Order::Stop { .. } => true,
+        });
         let session = machine.session;
         let Some(machine) = self.machines.get_mut(host) else {
             return;
@@ -279,6 +298,18 @@
         }
     }
 
+    /// Whether tasks of a gang may still be fetching its image, wherever they were placed.
+    fn gathering(&self, job: &Job) -> bool {
+        let rate = self
+            .flavors
+            .iter()
+            .map(|flavor| flavor.fetch_gb_per_s)
+            .fold(f64::MAX, f64::min);
+        let fetch_s = job.spec.image_gb / rate.max(0.01);
+        let most = self.settings.deployment.workers.gang_wait_s + FETCHES_LAST * fetch_s;
+        job.whole_gang() && self.now.since(job.settled) < Millis::from_secs(most)
+    }
+
     /// Compares a machine's newest report with the records.
     fn see_to(&mut self, host: &HostId, token: Token) -> Vec<Order> {
         self.note_images(host);
@@ -286,7 +317,8 @@
         let Some(machine) = self.machines.get(host) else {
             return Vec::new();
         };
-        let outcome = reconcile(machine, token, &self.jobs, &self.stops);
+        let gathering = |job: &Job| self.gathering(job);
+        let outcome = reconcile(machine, token, &self.jobs, &self.stops, gathering);
         let refused_until = self.now + AFTER_REFUSAL;
         if let Some(machine) = self.machines.get_mut(host) {
             if outcome.successes > 0 {
--- a/src/workers/reconcile.rs
+++ b/src/workers/reconcile.rs
@@ -41,7 +41,14 @@
 
 /// `machine` holds the newest report. `token` is what we hold its block under; a report whose
 /// worker had not seen it yet proves nothing, since an earlier holder's start may follow it.
-pub fn reconcile(machine: &Machine, token: Token, jobs: &Jobs, stops: &Stops) -> Outcome {
+/// `gathering` tells of a gang whether the rest of it may still be fetching its image.
+pub fn reconcile(
+    machine: &Machine,
+    token: Token,
+    jobs: &Jobs,
+    stops: &Stops,
+    gathering: impl Fn(&Job) -> bool,
+) -> Outcome {
     let mut out = Outcome::default();
     if machine.baton < token {
         return out;
@@ -58,8 +65,28 @@
             (Some(job), true) => {
                 settled.insert(task);
                 let pending = job.changes.contains_key(&task.index);
-                if exited && !pending {
-                    let cause = seen.cause.unwrap_or(Cause::Error);
+                let cause = seen.cause.unwrap_or(Cause::Error);
+                let alone = exited && cause == Cause::Alone;
+                if alone && machine.direct.riding.contains(&(task.clone(), attempt)) {
+                    // It may have been told to start once more already. An answer to direct orders
+                    // that was written before says nothing of that.
+                } else if alone
+                    && job_wants_it(job)
+                    && !pending
+                    && !stops.contains_key(task)
+                    && gathering(job)
+                {
+                    // A fetch takes longer than a task waits for its gang: the image is here now,
+                    // so it waits once more where it is. Given up, it would take the fetches of
+                    // the others with it.
+                    let task = task.clone();
+                    let forget = task.clone();
+                    out.orders.push(Order::Forget {
+                        task: forget,
+                        attempt,
+                    });
+                    out.orders.push(Order::Start { task, attempt });
+                } else if exited && !pending {
                     let change = if cause == Cause::Done {
                         out.successes += 1;
                         Change::Finish { attempt }
@@ -156,9 +183,92 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::jobs::Shape;
     use crate::jobs::api::{parse, tests::body};
     use crate::jobs::record::{JobRecord, encode_page, job_key, page_key};
     use crate::types::{BlockId, Millis, Revision, Session};
+    use crate::workers::Seen;
+
+    /// A gang placed on one machine with its image and fifteen without: the first waited alone for
+    /// 30 s while the others fetched for a minute, its end took theirs with it, and the next attempt
+    /// began with nothing. Started once more, it is not proved gone by an answer from before.
+    #[test]
+    fn a_task_that_waited_alone_waits_again_while_others_fetch() {
+        let (id, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+        (spec.tasks, spec.shape) = (2, Shape::Gang);
+        let placed = |host: &str, part| {
+            Task::Placed(Placement {
+                host: host.into(),
+                block: BlockId::parse(part).unwrap(),
+                session: Session(1),
+                attempt: Attempt(3),
+            })
+        };
+        let record = JobRecord {
+            phase: Phase::Active,
+            home: "n0".into(),
+            tasks: 2,
+            page: 8,
+            spec: Some(spec),
+        };
+        let record = serde_json::to_string(&record).unwrap();
+        let (here, other) = (placed("vm-1", "a.0"), placed("vm-2", "a.1"));
+        let tried = Attempt(3);
+        let task = TaskId {
+            job: id.clone(),
+            index: 0,
+        };
+        let cases = [
+            // cause, the other task, may fetch, an order is on its way, started again, released
+            (Cause::Alone, other.clone(), true, false, true, false),
+            (Cause::Alone, other.clone(), true, true, false, false),
+            (Cause::Alone, other.clone(), false, true, false, false),
+            (Cause::Alone, other.clone(), false, false, false, true),
+            (
+                Cause::Alone,
+                Task::Waiting { tried },
+                true,
+                false,
+                false,
+                true,
+            ),
+            (Cause::PeersGone, other, true, true, false, true),
+        ];
+        for (index, (cause, mate, fetches, rides, again, released)) in cases.into_iter().enumerate()
+        {
+            let mut jobs = Jobs::default();
+            jobs.feed(&job_key(&id), Some(&record), Revision(5), Millis(1));
+            let page = encode_page(&[here.clone(), mate]);
+            jobs.feed(&page_key(&id, 0), Some(&page), Revision(6), Millis(1));
+            let (host, block) = (HostId::from("vm-1"), BlockId::parse("a.0").unwrap());
+            let (rig, zone) = ("g8".into(), "a".into());
+            let mut machine = Machine::new(host, rig, zone, false, block, "n0".into());
+            (machine.session, machine.baton) = (Session(1), Token(4));
+            let seen = Seen {
+                attempt: tried,
+                stage: TaskStage::Exited,
+                cause: Some(cause),
+            };
+            machine.tasks.insert(task.clone(), seen);
+            if rides {
+                machine.direct.riding.insert((task.clone(), tried));
+            }
+            let outcome = reconcile(&machine, Token(4), &jobs, &Stops::default(), |_| fetches);
+            let attempt = tried;
+            let forget = Order::Forget {
+                task: task.clone(),
+                attempt,
+            };
+            let task = task.clone();
+            let expected = if again {
+                vec![forget, Order::Start { task, attempt }]
+            } else {
+                vec![]
+            };
+            assert_eq!(outcome.orders, expected, "case {index}");
+            assert_eq!(!outcome.changes.is_empty(), released, "case {index}");
+        }
+    }
 
     /// A task was stopped for another just after its start had left with the answer to a report.
     /// An answer to direct orders, written before the start came, did not show it; its room was
@@ -223,7 +333,7 @@
             let mut machine = Machine::new(host, rig, zone, false, block.clone(), "n0".into());
             (machine.session, machine.baton) = (Session(1), Token(4));
             way(&mut machine, (task.clone(), attempt));
-            let outcome = reconcile(&machine, Token(4), &jobs, &stops);
+            let outcome = reconcile(&machine, Token(4), &jobs, &stops, |_| false);
             assert_eq!(!outcome.changes.is_empty(), gone, "{name}");
         }
     }
