Slow fetches: seconds to the image, kept caches, whole machines for normal gangs

Headroom for normal work of classes with a wait objective, in empty machines, since it can't have arrays stopped.

--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -6,14 +6,15 @@
 use rustc_hash::FxHashSet as HashSet;
 
 use super::reports::WORD_HOLDS;
-use super::{Controller, Effect, Purpose};
+use super::{Arrival, Controller, Effect, Purpose};
 use crate::fleet::plan::{Bin, Headroom, Need, plan};
 use crate::fleet::{CloudAnswer, CloudCall, FLAVORS, Flavor, Fleet, Offer, Rented, Stage};
 use crate::jobs::cache::{Change, Evidence};
-use crate::jobs::{Rank, Shape};
+use crate::jobs::{Rank, Shape, Spec};
+use crate::settings::Objective;
 use crate::store::{Class, Txn};
 use crate::types::{HostId, JobId, Millis, Room};
-use crate::workers::block_of;
+use crate::workers::{Machine, block_of};
 
 const EVERY: Millis = Millis(1_000);
 const LIST_EVERY: Millis = Millis(2_500);
@@ -31,6 +32,10 @@
 const SOLD_OUT: Millis = Millis(15_000);
 /// A machine that takes this many times its usual boot time never comes up.
 const NEVER: f64 = 3.0;
+/// A fetch that takes no more than this part of a boot is no reason to keep a machine.
+const FETCH_IN_BOOT: f64 = 0.5;
+/// The kind of objective that says how soon work should start.
+const STARTS: &str = "wait";
 /// Arrivals of this long tell the rate.
 const WINDOW: Millis = Millis(180_000);
 /// Spare machines cover this many standard deviations of what comes and goes.
@@ -41,6 +46,18 @@
 const MOST_RENTED: u32 = 50;
 const MOST_DELETED: usize = 100;
 
+/// Seconds of fetching that go with a machine's cache when it is returned. What a new machine has
+/// in less than part of the time it takes to boot is not worth paying for.
+fn cache_worth_s(machine: &Machine, flavor: &Flavor) -> f64 {
+    let rate = flavor.fetch_gb_per_s.max(0.01);
+    let beyond = |gb: f64| (gb / rate - FETCH_IN_BOOT * flavor.boot_s).max(0.0);
+    machine
+        .images
+        .values()
+        .map(|cached| beyond(cached.gb))
+        .sum()
+}
+
 impl Controller {
     pub(super) fn start_leading(&mut self) {
         self.fleet = Fleet::default();
@@ -103,7 +120,8 @@
             .iter()
             .filter(|job| job.born > seen && job.born <= now)
         {
-            if job.spec.rank < Rank::Urgent {
+            let urgent = job.spec.rank >= Rank::Urgent;
+            if !urgent && !self.waits_are_seen(&job.spec) {
                 continue;
             }
             let whole = self
@@ -113,11 +131,25 @@
                 .map(|f| job.spec.room.share_of(f.room))
                 .fold(1.0, f64::min);
             let share = whole * f64::from(job.record.tasks);
-            found.push((job.born, share, job.spec.spot));
+            found.push(Arrival {
+                at: job.born,
+                share,
+                spot: job.spec.spot,
+                urgent,
+            });
         }
         self.arrivals.extend(found);
         self.arrivals_until = now;
-        self.arrivals.retain(|(at, _, _)| now.since(*at) <= WINDOW);
+        self.arrivals
+            .retain(|arrival| now.since(arrival.at) <= WINDOW);
+    }
+
+    /// Whether the operators say how soon such work should start, though it can't have others
+    /// stopped to make room.
+    fn waits_are_seen(&self, spec: &Spec) -> bool {
+        let objectives = &self.settings.deployment.objectives;
+        let starts = |o: &Objective| o.kind == STARTS && o.class.as_ref() == Some(&spec.class);
+        objectives.iter().any(starts)
     }
 
     /// Machines that report are there, whatever the list says.
@@ -276,6 +308,7 @@
                 free: flavor.room.minus(taken.plus(kept)),
                 soft: self.jobs.host_use(host).soft,
                 idle_for: rented.idle.map_or(Millis(0), |since| self.now.since(since)),
+                worth_s: machine.map_or(0.0, |m| cache_worth_s(m, flavor)),
             });
         }
         for (offer, count) in self.fleet.renting.values() {
@@ -288,6 +321,7 @@
                     free: flavor.room,
                     soft: Room::default(),
                     idle_for: Millis(0),
+                    worth_s: 0.0,
                 }));
             }
         }
@@ -539,17 +573,22 @@
         let lead_s = flavor.boot_s + 8.0;
         [false, true]
             .map(|spot| {
-                let asked = self.arrivals.iter().filter(|(_, _, s)| *s == spot);
-                let (sum, squares) = asked.fold((0.0, 0.0), |(sum, squares), (_, share, _)| {
-                    (sum + share, squares + share * share)
-                });
                 // What comes while a machine boots; in a large fleet about as much comes free
                 // meanwhile, and only the fluctuation of both is to be covered.
                 let part = lead_s / self.seen_for().secs();
-                let spread: f64 = (2.0 * squares * part).sqrt();
+                let machines = |urgent: bool| {
+                    let asked = self.arrivals.iter();
+                    let asked = asked.filter(|a| a.spot == spot && (urgent || !a.urgent));
+                    let (sum, squares) = asked.fold((0.0, 0.0), |(sum, squares), a| {
+                        (sum + a.share, squares + a.share * a.share)
+                    });
+                    let spread: f64 = (2.0 * squares * part).sqrt();
+                    (sum * part).min(SPREAD * spread).round() as u32
+                };
                 Headroom {
                     spot,
-                    machines: (sum * part).min(SPREAD * spread).round() as u32,
+                    machines: machines(true),
+                    empty: machines(false),
                     room: flavor.room,
                 }
             })
--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -399,6 +399,13 @@
                 self.take_over(&id);
             }
         }
+        if let Some(job) = self.jobs.get(&id) {
+            for host in &touched.taken {
+                if let Some(machine) = self.machines.get_mut(host) {
+                    machine.expect_image(&job.spec.image, job.spec.image_gb, self.now);
+                }
+            }
+        }
         let team = self.jobs.get(&id).map(|job| job.spec.team.clone());
         let unwanted: BTreeSet<HostId> = self
             .jobs
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -275,6 +275,18 @@
     others: Vec<HostId>,
 }
 
+/// Work that came and should not have to wait for a machine to boot.
+#[derive(Debug)]
+struct Arrival {
+    at: Millis,
+    /// How many machines it takes.
+    share: f64,
+    /// Whether spot machines will do.
+    spot: bool,
+    /// Whether it may have other work stopped.
+    urgent: bool,
+}
+
 /// What another controller said last.
 #[derive(Debug)]
 struct PeerState {
@@ -357,8 +369,7 @@
     flavors_asked: Millis,
     fleet: Fleet,
     fleet_ticked: Millis,
-    /// When urgent work came, the share of a machine it takes, and whether spot ones will do.
-    arrivals: Vec<(Millis, f64, bool)>,
+    arrivals: Vec<Arrival>,
     arrivals_until: Millis,
     arrivals_since: Millis,
 
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -10,7 +10,7 @@
 use crate::cycle::{self, Asking, Candidate};
 use crate::fleet::Flavor;
 use crate::jobs::cache::{Change, Job, Writing};
-use crate::jobs::{Placement, Rank, Shape};
+use crate::jobs::{Placement, Rank, Shape, Spec};
 use crate::peers::{MachineView, Message, Pulse, Status};
 use crate::preempt::{self, Site, Victim};
 use crate::queue::{Check, Event, Order};
@@ -184,26 +184,31 @@
         scope: Scope,
         zone: Option<&'a Zone>,
     ) -> impl Iterator<Item = Candidate<'a>> {
+        let job = self.jobs.get(id);
         let own = self.pool.own.iter().filter(move |_| scope != Scope::Others);
         let others = self.pool.others.iter().filter(move |_| scope != Scope::Own);
         own.chain(others)
             .filter_map(|host| self.machines.get(host))
             .filter(move |m| zone.is_none_or(|zone| m.zone == *zone))
-            .map(|machine| Candidate {
+            .map(move |machine| Candidate {
                 machine,
                 whole: self.whole(machine),
                 free: self.free_for(machine, id),
                 yielding: self.jobs.yielding(&machine.host),
-                fetching_s: self.fetching_s(machine),
+                image_s: job.map_or(0.0, |job| self.image_s(machine, &job.spec)),
             })
     }
 
-    fn fetching_s(&self, machine: &Machine) -> f64 {
-        if machine.coming.is_empty() {
-            return 0.0;
-        }
-        let rate = self.flavor(&machine.rig).map_or(1.0, |f| f.fetch_gb_per_s);
-        machine.coming_gb(self.now) / rate.max(0.01)
+    /// Seconds until a job's image would be on a machine.
+    fn image_s(&self, machine: &Machine, spec: &Spec) -> f64 {
+        let rate = self.fetch_rate(machine);
+        machine.image_s(&spec.image, spec.image_gb, rate, self.now)
+    }
+
+    /// Gigabytes a second at which a machine fetches images.
+    pub(super) fn fetch_rate(&self, machine: &Machine) -> f64 {
+        let flavor = self.flavor(&machine.rig);
+        flavor.map_or(1.0, |f| f.fetch_gb_per_s.max(0.01))
     }
 
     /// Filters and scores the machines for the next task of a job.
@@ -567,7 +572,8 @@
         if let (Some(machine), Some(job)) = (self.machines.get(&host), self.jobs.get(id)) {
             let cached = machine.images.contains_key(&job.spec.image);
             let (class, age) = (&job.spec.class, self.now.since(job.born).secs());
-            tracing::debug!(job = %id, class, index, %host, cached, age, "reserved");
+            let image = job.spec.image.as_str();
+            tracing::debug!(job = %id, class, index, %host, image, cached, age, "reserved");
             let placement = Placement {
                 host: host.clone(),
                 block: machine.block.clone(),
@@ -748,9 +754,6 @@
                 }
             })
         };
-        let flavor = self.flavor(&machine.rig);
-        let fetch_s = flavor.map_or(0.0, |f| job.spec.image_gb / f.fetch_gb_per_s.max(0.01));
-        let cached = machine.images.contains_key(&job.spec.image);
         Site {
             host: machine.host.clone(),
             free: self.free_for(machine, &job.id),
@@ -759,7 +762,7 @@
                 .on_host(&machine.host)
                 .filter_map(victim)
                 .collect(),
-            delay_s: if cached { 0.0 } else { fetch_s },
+            delay_s: self.image_s(machine, &job.spec),
         }
     }
 
@@ -893,9 +896,11 @@
                 continue;
             }
             machine.address = view.address.parse().ok().or(machine.address);
-            let cached = Cached { used: now, gb: 0.0 };
-            let images = view.images.into_iter().map(|image| (image.into(), cached));
-            machine.images = images.collect();
+            let cached = |(image, mb): (String, u64)| {
+                let gb = mb as f64 / 1e3;
+                (image.into(), Cached { used: now, gb })
+            };
+            machine.images = view.images.into_iter().map(cached).collect();
         }
         for pulse in status.machines {
             let host = HostId::from(pulse.host);
@@ -971,7 +976,11 @@
                     rig: machine.rig.as_str().into(),
                     zone: machine.zone.as_str().into(),
                     spot: machine.spot,
-                    images: machine.images.keys().map(|i| i.as_str().into()).collect(),
+                    images: machine
+                        .images
+                        .iter()
+                        .map(|(image, cached)| (image.as_str().into(), (cached.gb * 1e3) as u64))
+                        .collect(),
                 });
             }
         }
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -9,7 +9,7 @@
 use crate::jobs::cache::{Change, Evidence, Job};
 use crate::queue;
 use crate::types::{
-    Attempt, BlockId, HostId, JobId, Millis, ReplyId, Session, TaskId, Token, Zone,
+    Attempt, BlockId, HostId, JobId, Millis, ReplyId, Session, Sku, TaskId, Token, Zone,
 };
 use crate::workers::reconcile::{Stop, reconcile};
 use crate::workers::wire::{Cause, Order, Report, ReportAnswer, TaskStage};
@@ -380,6 +380,11 @@
             }
         }
         for (image, gb) in used {
+            if let Some(coming) = machine.coming.get(image) {
+                let took_s = self.now.since(coming.used).secs();
+                let others = machine.coming.len() - 1;
+                tracing::debug!(%host, image = image.as_str(), gb, took_s, others, "fetched");
+            }
             machine.note_image(image, gb, cache_gb, self.now);
         }
     }
@@ -531,6 +536,16 @@
             }
         }
         self.note_changes(changes);
+        let rates: Vec<(Sku, f64)> = self
+            .flavors
+            .iter()
+            .map(|flavor| (flavor.sku.clone(), flavor.fetch_gb_per_s.max(0.01)))
+            .collect();
+        let now = self.now;
+        for machine in self.machines.values_mut().filter(|m| !m.coming.is_empty()) {
+            let rate = rates.iter().find(|(sku, _)| *sku == machine.rig);
+            machine.forget_fetches(rate.map_or(1.0, |(_, rate)| *rate), now);
+        }
         let jobs = &self.jobs;
         self.stops.retain(|task, stop| {
             jobs.get(&task.job)
--- a/src/cycle.rs
+++ b/src/cycle.rs
@@ -15,17 +15,14 @@
     pub free: Room,
     /// Nothing here but work that gives way to urgent work: as good as an empty machine.
     pub yielding: bool,
-    /// Seconds until the images on their way here are there: fetches share the machine's rate.
-    pub fetching_s: f64,
+    /// Seconds until the job's image would be here: fetches share the machine's rate.
+    pub image_s: f64,
 }
 
-/// Weights of the scores; each score lies between 0 and 1.
-const IMAGE: f64 = 5.0;
-/// The image is on its way for another task.
-const IMAGE_COMING: f64 = 4.0;
-/// Behind the fetches of other images: so much off a second, up to a most.
-const FETCH_SECOND: f64 = 0.2;
-const FETCHES_MOST: f64 = 3.0;
+/// Weights of the scores; each score but that of seconds lies between 0 and 1.
+const IMAGE: f64 = 1.0;
+/// What a second less until the image is there is worth, against the scores that save machines.
+const FETCH_SECOND: f64 = 0.4;
 const FULLNESS: f64 = 2.0;
 const SPOT: f64 = 1.5;
 const UNTRIED: f64 = 4.0;
@@ -86,18 +83,12 @@
 /// The weighted sum of the scores.
 pub fn score(spec: &Spec, candidate: &Candidate, failed_here: bool) -> f64 {
     let machine = candidate.machine;
-    let image = if machine.images.contains_key(&spec.image) {
-        IMAGE
-    } else if machine.coming.contains_key(&spec.image) {
-        IMAGE_COMING
-    } else {
-        -(FETCH_SECOND * candidate.fetching_s).min(FETCHES_MOST)
-    };
+    let cached = machine.images.contains_key(&spec.image);
     let used = candidate.whole.minus(candidate.free).plus(spec.room);
     let spot_fits = machine.spot == spec.spot;
     let as_score = |yes: bool| f64::from(u8::from(yes));
     let breaks = candidate.yielding && !spec.yields() && spec.room.share_of(candidate.whole) < 0.5;
-    image
+    IMAGE * as_score(cached) - FETCH_SECOND * candidate.image_s
         + FULLNESS * used.share_of(candidate.whole)
         + SPOT * as_score(spot_fits)
         + UNTRIED * as_score(!failed_here)
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -17,6 +17,8 @@
     /// Room held by work that gives way to urgent work without much loss.
     pub soft: Room,
     pub idle_for: Millis,
+    /// Seconds that its cache would take to be fetched again.
+    pub worth_s: f64,
 }
 
 impl Bin {
@@ -50,6 +52,8 @@
 pub struct Headroom {
     pub spot: bool,
     pub machines: u32,
+    /// Of these, so many with nothing on them: for work that can't have any stopped.
+    pub empty: u32,
     pub room: Room,
 }
 
@@ -159,6 +163,7 @@
                 free: whole,
                 soft: Room::default(),
                 idle_for: Millis(0),
+                worth_s: 0.0,
             });
             Some(zone)
         };
@@ -190,7 +195,9 @@
     for wanted in headroom {
         let kind = |bin: &&Bin| bin.offer.2 == wanted.spot && wanted.room.fits_in(bin.whole);
         let there = bins.iter().filter(kind).filter(|bin| bin.ready()).count() as u32;
-        for _ in there..wanted.machines {
+        let empty = bins.iter().filter(kind).filter(|bin| bin.empty()).count() as u32;
+        let missing = wanted.machines.saturating_sub(there);
+        for _ in 0..missing.max(wanted.empty.saturating_sub(empty)) {
             if add(&mut bins, &|o: &Offer| o.2 == wanted.spot, wanted.room).is_none() {
                 break;
             }
@@ -202,7 +209,8 @@
             .filter(kind)
             .filter(|bin| bin.ready() && !bin.empty())
             .count();
-        let mut spare = wanted.machines.saturating_sub(soft as u32);
+        let spare = wanted.machines.saturating_sub(soft as u32);
+        let mut spare = spare.max(wanted.empty);
         let mut idle: Vec<&Bin> = bins
             .iter()
             .filter(kind)
@@ -212,7 +220,7 @@
         for bin in idle {
             if spare > 0 {
                 spare -= 1;
-            } else if bin.idle_for >= idle_return {
+            } else if bin.idle_for >= idle_return + Millis::from_secs(bin.worth_s) {
                 plan.release.extend(bin.host.clone());
             }
         }
@@ -265,6 +273,7 @@
             free: room(free),
             soft: Room::default(),
             idle_for: Millis(idle_s * 1000),
+            worth_s: 0.0,
         }
     }
 
@@ -343,6 +352,7 @@
             let headroom = [(false, spare), (true, 0)].map(|(spot, machines)| Headroom {
                 spot,
                 machines,
+                empty: 0,
                 room: room(8.0),
             });
             let sold_out = |o: &Offer| o.2 && no_spot;
@@ -366,6 +376,47 @@
         }
     }
 
+    /// Idle machines were returned after 20 s with images that took minutes to fetch again; and
+    /// normal work, which can't have others stopped, was counted on to find room under arrays.
+    #[test]
+    fn machines_are_kept_for_their_images_and_for_work_that_stops_nobody() {
+        let cases = [
+            // free, soft, idle for, worth, ready, empty; rented, released
+            ((8.0, 0.0, 30, 0.0, 0, 0), (0, 1)),
+            ((8.0, 0.0, 30, 60.0, 0, 0), (0, 0)),
+            ((8.0, 0.0, 90, 60.0, 0, 0), (0, 1)),
+            ((2.0, 6.0, 0, 0.0, 1, 0), (0, 0)),
+            ((2.0, 6.0, 0, 0.0, 1, 1), (1, 0)),
+            ((8.0, 0.0, 30, 0.0, 1, 1), (0, 0)),
+            ((8.0, 0.0, 30, 0.0, 0, 1), (0, 0)),
+        ];
+        for ((free, soft, idle_s, worth_s, machines, empty), (rented, released)) in cases {
+            let bin = Bin {
+                soft: room(soft),
+                worth_s,
+                ..bin("vm-1", false, free, idle_s)
+            };
+            let headroom = Headroom {
+                spot: false,
+                machines,
+                empty,
+                room: room(8.0),
+            };
+            let idle_return = Millis(20_000);
+            let plan = plan(
+                vec![bin],
+                &[],
+                &[headroom],
+                &flavors(),
+                |_| false,
+                idle_return,
+            );
+            let got = (plan.rent.values().sum::<u32>(), plan.release.len());
+            let case = (free, soft, idle_s, worth_s, machines, empty);
+            assert_eq!(got, (rented, released), "{case:?}");
+        }
+    }
+
     /// Tasks of a gang that must be in one zone were counted as served by machines in several.
     #[test]
     fn a_gang_in_one_zone_gets_its_machines_there() {
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -6,7 +6,7 @@
 use bitcode::{Decode, Encode};
 
 /// Spoken by both ends or not at all.
-pub const VERSION: u32 = 2;
+pub const VERSION: u32 = 3;
 
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum Message {
@@ -75,7 +75,8 @@
     pub rig: String,
     pub zone: String,
     pub spot: bool,
-    pub images: Vec<String>,
+    /// The images in its cache, and their megabytes.
+    pub images: Vec<(String, u64)>,
 }
 
 /// No frame is larger.
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -102,8 +102,12 @@
     }
 }
 
-/// An image that was not seen in use this long after a task was placed for it is not on its way.
-const EXPECTED: Millis = Millis(60_000);
+/// An image that is not here after this many times what its fetch takes, and some seconds, is not
+/// on its way.
+const FETCHES_LAST: f64 = 4.0;
+const FETCH_STARTS: f64 = 20.0;
+/// A fetch whose end was not heard yet has at least this part to go.
+const LEAST_LEFT: f64 = 0.1;
 
 /// A machine is sick once tasks of this many jobs failed on it in a row.
 const SICK_AFTER: usize = 2;
@@ -185,19 +189,36 @@
 
     /// A task that waits for an image was placed here.
     pub fn expect_image(&mut self, image: &Image, gb: f64, now: Millis) {
-        self.coming
-            .retain(|_, coming| now.since(coming.used) < EXPECTED);
         if !self.images.contains_key(image) {
             let coming = Cached { used: now, gb };
             self.coming.entry(image.clone()).or_insert(coming);
         }
     }
 
-    /// Gigabytes that are still to be fetched here.
-    pub fn coming_gb(&self, now: Millis) -> f64 {
-        let coming = self.coming.values();
-        let still = coming.filter(|coming| now.since(coming.used) < EXPECTED);
-        still.map(|coming| coming.gb).sum()
+    /// Forgets images that are here by now, or were given up.
+    pub fn forget_fetches(&mut self, rate: f64, now: Millis) {
+        let all_gb: f64 = self.coming.values().map(|coming| coming.gb).sum();
+        let most = Millis::from_secs(FETCH_STARTS + FETCHES_LAST * all_gb / rate);
+        let images = &self.images;
+        self.coming
+            .retain(|image, coming| !images.contains_key(image) && now.since(coming.used) < most);
+    }
+
+    /// Seconds until an image would be here, with `rate` gigabytes a second shared by all fetches.
+    pub fn image_s(&self, image: &Image, gb: f64, rate: f64, now: Millis) -> f64 {
+        if self.images.contains_key(image) {
+            return 0.0;
+        }
+        let each = rate / self.coming.len().max(1) as f64;
+        let left = |coming: &Cached| {
+            let done = now.since(coming.used).secs() * each;
+            (coming.gb - done).max(coming.gb * LEAST_LEFT)
+        };
+        let own = self.coming.get(image).map_or(gb, left);
+        // Of each other fetch as much comes meanwhile as of this one.
+        let others = self.coming.iter().filter(|(other, _)| *other != image);
+        let all: f64 = others.map(|(_, coming)| left(coming).min(own)).sum();
+        (own + all) / rate
     }
 
     /// Fit for new tasks, as far as its own condition goes.
@@ -233,3 +254,38 @@
         part: (number % u64::from(parts.max(1))) as u32,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Fetches were taken for over after a minute, when one of 20 GB takes three, and a machine
+    /// that fetched two other images looked hardly worse than one that fetched none.
+    #[test]
+    fn fetches_share_a_rate_and_take_their_time() {
+        let block = BlockId::parse("a.0").unwrap();
+        let cases: [(&str, &[(&str, f64)], u64, f64); 6] = [
+            // image asked for, of 12 GB at 0.1 GB/s; on their way since second 0; now; seconds
+            ("here", &[], 0, 0.0),
+            ("new", &[], 0, 120.0),
+            ("new", &[("other", 6.0)], 0, 180.0),
+            ("new", &[("other", 6.0)], 30, 150.0),
+            ("coming", &[("coming", 12.0)], 90, 30.0),
+            ("coming", &[("coming", 12.0), ("other", 20.0)], 90, 150.0),
+        ];
+        for (asked, coming, now_s, expected) in cases {
+            let (host, rig, zone) = ("vm-1".into(), "g8".into(), "a".into());
+            let mut machine = Machine::new(host, rig, zone, false, block.clone(), "n0".into());
+            machine.note_image(&"here".into(), 12.0, 80.0, Millis(0));
+            for (image, gb) in coming {
+                machine.expect_image(&(*image).into(), *gb, Millis(0));
+            }
+            let now = Millis(now_s * 1000);
+            machine.forget_fetches(0.1, now);
+            let got = machine.image_s(&asked.into(), 12.0, 0.1, now);
+            assert!((got - expected).abs() < 0.01, "{asked}, {coming:?}: {got}");
+            machine.forget_fetches(0.1, Millis(3_000_000));
+            assert!(machine.coming.is_empty());
+        }
+    }
+}
