Replicas keep apart where fetches are slow, and stop arrays where their image is

Excluded: stale knowledge of images, zones, machines returned with images.

Change: for each second of its fetch a replica loses score by the part of the machine that is taken by work that does not give way. And room by stopping work of normal priority is weighed against a fetch in seconds, as the design says, instead of coming after every free machine.

--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -190,12 +190,18 @@
         own.chain(others)
             .filter_map(|host| self.machines.get(host))
             .filter(move |m| zone.is_none_or(|zone| m.zone == *zone))
-            .map(move |machine| Candidate {
-                machine,
-                whole: self.whole(machine),
-                free: self.free_for(machine, id),
-                yielding: self.jobs.yielding(&machine.host),
-                image_s: job.map_or(0.0, |job| self.image_s(machine, &job.spec)),
+            .map(move |machine| {
+                let (whole, on_it) = (self.whole(machine), self.jobs.host_use(&machine.host));
+                let gb = job.map_or(0.0, |job| job.spec.image_gb);
+                Candidate {
+                    machine,
+                    whole,
+                    free: self.free_for(machine, id),
+                    yielding: self.jobs.yielding(&machine.host),
+                    image_s: job.map_or(0.0, |job| self.image_s(machine, &job.spec)),
+                    fetch_s: gb / self.fetch_rate(machine),
+                    firm: on_it.taken.minus(on_it.soft).share_of(whole),
+                }
             })
     }
 
--- a/src/cycle.rs
+++ b/src/cycle.rs
@@ -17,6 +17,10 @@
     pub yielding: bool,
     /// Seconds until the job's image would be here: fetches share the machine's rate.
     pub image_s: f64,
+    /// Seconds that its fetch takes here by itself.
+    pub fetch_s: f64,
+    /// The part of the machine that is taken by work that does not give way.
+    pub firm: f64,
 }
 
 /// Weights of the scores; each score but that of seconds lies between 0 and 1.
@@ -25,6 +29,9 @@
 const FETCH_SECOND: f64 = 0.4;
 const FULLNESS: f64 = 2.0;
 const SPOT: f64 = 1.5;
+/// Small lasting tasks keep apart where fetches are slow: a machine full of them has images that
+/// nobody else can use. For a whole machine taken, so much for each second of a fetch.
+const APART_SECOND: f64 = 0.4;
 const UNTRIED: f64 = 4.0;
 /// Small lasting tasks keep off machines that urgent work may want whole.
 const WHOLE: f64 = 2.5;
@@ -87,12 +94,15 @@
     let used = candidate.whole.minus(candidate.free).plus(spec.room);
     let spot_fits = machine.spot == spec.spot;
     let as_score = |yes: bool| f64::from(u8::from(yes));
-    let breaks = candidate.yielding && !spec.yields() && spec.room.share_of(candidate.whole) < 0.5;
+    let lasts = !spec.yields() && spec.room.share_of(candidate.whole) < 0.5;
+    let breaks = candidate.yielding && lasts;
+    let crowds = as_score(lasts) * candidate.firm * candidate.fetch_s;
     IMAGE * as_score(cached) - FETCH_SECOND * candidate.image_s
         + FULLNESS * used.share_of(candidate.whole)
         + SPOT * as_score(spot_fits)
         + UNTRIED * as_score(!failed_here)
         + WHOLE * as_score(!breaks)
+        - APART_SECOND * crowds
 }
 
 /// The best machine, or the checks that rejected all.
@@ -121,3 +131,50 @@
     }
     best.map(|(_, host)| host.clone()).ok_or(rejected)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::jobs::Rank;
+    use crate::jobs::api::{parse, tests::body};
+    use crate::types::BlockId;
+
+    fn room(gpus: f64) -> Room {
+        Room {
+            cpus: gpus * 6.0,
+            gpus,
+            memory_gb: gpus * 20.0,
+        }
+    }
+
+    /// Replicas filled machines four at a time, so where an image took a minute to fetch, all the
+    /// machines that had it were full of work that never gives way, and each new replica fetched.
+    #[test]
+    fn replicas_share_machines_only_where_fetches_are_quick() {
+        let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+        (spec.shape, spec.rank) = (crate::jobs::Shape::Service, Rank::Critical);
+        (spec.room, spec.image_gb) = (room(1.0), 7.0);
+        let block = BlockId::parse("a.0").unwrap();
+        let machine = |host: &str| {
+            let (rig, zone) = ("g4".into(), "a".into());
+            Machine::new(host.into(), rig, zone, false, block.clone(), "n0".into())
+        };
+        let (empty, used) = (machine("vm-2"), machine("vm-1"));
+        let cases = [(0.8, true), (0.5, true), (0.12, false)];
+        for (rate, shares) in cases {
+            let fetch_s = spec.image_gb / rate;
+            let at = |machine, taken: f64| Candidate {
+                machine,
+                whole: room(4.0),
+                free: room(4.0 - taken),
+                yielding: taken == 0.0,
+                image_s: fetch_s,
+                fetch_s,
+                firm: taken / 4.0,
+            };
+            let beside = score(&spec, &at(&used, 1.0), false);
+            let alone = score(&spec, &at(&empty, 0.0), false);
+            assert_eq!(beside > alone, shares, "{rate} GB/s: {beside}, {alone}");
+        }
+    }
+}
--- a/src/preempt.rs
+++ b/src/preempt.rs
@@ -44,7 +44,11 @@
     Some(Offer {
         host: site.host.clone(),
         victims: stopped().map(|victim| victim.task.clone()).collect(),
-        cost: (highest.unwrap_or(Rank::BestEffort), waste + site.delay_s),
+        // Stopping nobody is no better than stopping work of normal priority if it takes longer.
+        cost: (
+            highest.unwrap_or(Rank::BestEffort).max(Rank::Normal),
+            waste + site.delay_s,
+        ),
     })
 }
 
@@ -177,6 +181,27 @@
                 )],
                 Some(("a", vec![1])),
             ),
+            // A free machine without the image is no better than a moment's work that stops.
+            (
+                vec![
+                    Site {
+                        delay_s: 58.0,
+                        ..site("a", 4.0, &[])
+                    },
+                    site("b", 3.0, &[(0, 1.0, Normal, 5.0, false)]),
+                ],
+                Some(("b", vec![0])),
+            ),
+            (
+                vec![
+                    Site {
+                        delay_s: 58.0,
+                        ..site("a", 4.0, &[])
+                    },
+                    site("b", 3.0, &[(0, 1.0, Urgent, 5.0, false)]),
+                ],
+                Some(("a", vec![])),
+            ),
         ];
         for (index, (sites, expected)) in cases.into_iter().enumerate() {
             let got = choose(room(4.0), sites);
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -264,7 +264,8 @@
     #[test]
     fn fetches_share_a_rate_and_take_their_time() {
         let block = BlockId::parse("a.0").unwrap();
-        let cases: [(&str, &[(&str, f64)], u64, f64); 6] = [
+        type Case = (&'static str, &'static [(&'static str, f64)], u64, f64);
+        let cases: [Case; 6] = [
             // image asked for, of 12 GB at 0.1 GB/s; on their way since second 0; now; seconds
             ("here", &[], 0, 0.0),
             ("new", &[], 0, 120.0),
