A controller that came back returns no idle machines before it knows what comes

From second 256 the cloud was away, and gangs waited 70 to 126 s for room. Excluded: gangs' images (one of them 3.7 GB), the queue (they were tried at every change).

Change: nothing idle is returned, and no machine emptied, in the first 90 s in which a controller sees arrivals.

--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -42,6 +42,8 @@
 const SPREAD: f64 = 2.0;
 /// Arrivals seen for less time than this tell too little of their rate.
 const LEAST_SEEN: Millis = Millis(30_000);
+/// Nothing idle is returned before arrivals have been seen for this long.
+const RETURNS_AFTER: Millis = Millis(90_000);
 /// The most machines one request may ask for.
 const MOST_RENTED: u32 = 50;
 const MOST_DELETED: usize = 100;
@@ -361,7 +363,7 @@
             });
         }
         needs.extend(dear);
-        let plan = plan(
+        let mut plan = plan(
             bins,
             &needs,
             &self.headroom(),
@@ -372,6 +374,12 @@
         if !plan.rent.is_empty() && self.keep_drained() {
             return;
         }
+        // A controller that has just come back knows neither how long machines have stood idle
+        // nor what usually comes for them.
+        let returns = self.now.since(self.arrivals_since) >= RETURNS_AFTER;
+        if !returns {
+            plan.release.clear();
+        }
         let waiting = self
             .jobs
             .iter()
@@ -384,7 +392,7 @@
                 count -= part;
             }
         }
-        if quiet && draining_idle.is_empty() {
+        if returns && quiet && draining_idle.is_empty() {
             self.consolidate();
         }
         let keep: HashSet<HostId> = plan.release.into_iter().collect();
