--- a/tests/cluster/main.rs
+++ b/tests/cluster/main.rs
@@ -118,6 +118,18 @@
             w.cut_workers(&[0, 1, 2], 16_000, 50_000);
         },
     },
+    Day {
+        name: "fetches take longer than a gang's tasks wait for each other",
+        plan: |w| w.slow_fetches = true,
+    },
+    Day {
+        name: "slow fetches, lost answers, all controllers crash one after the other",
+        plan: |w| {
+            w.slow_fetches = true;
+            w.lost_answers = 0.05;
+            (0..NODES).for_each(|n| w.crash(n, 20_000 + 11_000 * n as u64, 5_000));
+        },
+    },
     Day {
         name: "lost answers, a crash and a cut at once",
         plan: |w| {
--- a/tests/cluster/world.rs
+++ b/tests/cluster/world.rs
@@ -78,6 +78,8 @@
     next_report: u64,
     in_flight: Option<u64>,
     tasks: BTreeMap<String, WorkerTask>,
+    /// Jobs whose image is here; only where fetches are slow.
+    images: HashSet<String>,
     dead: bool,
     sick: bool,
     unreachable_until: u64,
@@ -126,6 +128,8 @@
     pub cuts: Vec<Cut>,
     /// Share of transactions whose answer is lost, and that may be applied seconds late.
     pub lost_answers: f64,
+    /// Fetches may take longer than a gang's task waits for the others.
+    pub slow_fetches: bool,
     workers: BTreeMap<HostId, Worker>,
     rentals: HashMap<String, Vec<HostId>>,
     pub cloud_down: Vec<(u64, u64)>,
@@ -201,6 +205,7 @@
             outages: Vec::new(),
             cuts: Vec::new(),
             lost_answers: 0.0,
+            slow_fetches: false,
             workers: BTreeMap::new(),
             rentals: HashMap::new(),
             cloud_down: Vec::new(),
@@ -786,6 +791,7 @@
                         next_report: up_at,
                         in_flight: None,
                         tasks: BTreeMap::new(),
+                        images: HashSet::new(),
                         dead: false,
                         sick: false,
                         unreachable_until: 0,
@@ -857,6 +863,7 @@
                 }
                 TaskStage::Fetching => {
                     let job = id.split('/').next().unwrap();
+                    worker.images.insert(job.to_string());
                     let plan = jobs.iter().find(|j| j.body["id"] == job).unwrap();
                     let service = plan.body["shape"] == "standing";
                     let done = self.completed.contains(id);
@@ -1069,7 +1076,9 @@
     }
 
     fn execute(&mut self, host: &HostId, orders: Vec<Order>) {
-        let (now, fetch) = (self.now, self.rng.random_range(100..1_500));
+        let (now, quick) = (self.now, self.rng.random_range(100..1_500));
+        let slow = self.slow_fetches;
+        let slow = slow.then(|| self.rng.random_range(2_000..GANG_WAIT_MS * 5 / 4));
         let worker = self.workers.get_mut(host).unwrap();
         let jobs = &self.jobs;
         let gpus = |id: &str| {
@@ -1088,6 +1097,8 @@
                             let on = worker.tasks.iter().filter(|(_, t)| alive(t));
                             let used: f64 = on.map(|(other, _)| gpus(other)).sum();
                             let room = used + gpus(&id) <= GPUS;
+                            let job = id.split('/').next().unwrap();
+                            let fetch = slow.filter(|_| !worker.images.contains(job));
                             let task = WorkerTask {
                                 attempt: attempt.0,
                                 stage: if room {
@@ -1096,7 +1107,7 @@
                                     TaskStage::Exited
                                 },
                                 cause: (!room).then_some(Cause::NoRoom),
-                                until: now + fetch,
+                                until: now + fetch.unwrap_or(quick),
                             };
                             worker.tasks.insert(id, task);
                         }
