--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -13,7 +13,7 @@
 };
 use crate::workers::reconcile::{Stop, reconcile};
 use crate::workers::wire::{Cause, Order, Report, ReportAnswer, TaskStage};
-use crate::workers::{Machine, block_of};
+use crate::workers::{FETCHES_LAST, Machine, block_of};
 
 /// A start that was refused for room shows that the machine holds more than we know.
 const AFTER_REFUSAL: Millis = Millis(3_000);
@@ -27,9 +27,6 @@
 const INSPECT_EVERY: Millis = Millis(2_000);
 /// What another controller said holds for this long.
 pub(super) const WORD_HOLDS: Millis = Millis(3_000);
-/// Machines that fetch several images share their rate: this many times its own duration is the
-/// most that a fetch is waited for.
-const FETCHES_LAST: f64 = 4.0;
 /// A machine without tasks that nobody has heard for this long is forgotten.
 const FORGET: Millis = Millis(120_000);
 
@@ -230,16 +227,16 @@
         let mut orders = reconcile(machine, token, &self.jobs, &self.stops, gathering).orders;
         // An attempt is forgotten, and one that waited alone is started once more, only by the
         // answer to a report: direct orders may come minutes late.
-        let forgotten: HashSet<TaskId> = orders
+        let forgotten: HashSet<(TaskId, Attempt)> = orders
             .iter()
             .filter_map(|order| match order {
-                Order::Forget { task, .. } => Some(task.clone()),
+                Order::Forget { task, attempt } => Some((task.clone(), *attempt)),
                 _ => None,
             })
             .collect();
         orders.retain(|order| match order {
             Order::Forget { .. } => false,
-            Order::Start { task, .. } => !forgotten.contains(task),
+            Order::Start { task, attempt } => !forgotten.contains(&(task.clone(), *attempt)),
             Order::Stop { .. } => true,
         });
         let session = machine.session;
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -102,9 +102,9 @@
     }
 }
 
-/// An image that is not here after this many times what its fetch takes, and some seconds, is not
-/// on its way.
-const FETCHES_LAST: f64 = 4.0;
+/// An image that is not here after this many times what its fetch takes by itself, and some
+/// seconds, is not on its way: machines that fetch several share their rate.
+pub const FETCHES_LAST: f64 = 4.0;
 const FETCH_STARTS: f64 = 20.0;
 /// A fetch whose end was not heard yet has at least this part to go.
 const LEAST_LEFT: f64 = 0.1;
