Array tasks that fetch slowly spread; headroom covers boot and fetch

Headroom covered a boot and 8 s, where a machine is of use after a boot of 45 s and a fetch of 58 s.

Change: a task that gives way and has to fetch loses score by the part of the machine that is taken, for each second of its fetch; the time that headroom covers is a boot and the mean fetch of what comes.

--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -136,6 +136,7 @@
             found.push(Arrival {
                 at: job.born,
                 share,
+                image_gb: job.spec.image_gb,
                 spot: job.spec.spot,
                 urgent,
             });
@@ -578,7 +579,10 @@
         else {
             return Vec::new();
         };
-        let lead_s = flavor.boot_s + 8.0;
+        // A machine serves once it has booted and fetched an image.
+        let images_gb: f64 = self.arrivals.iter().map(|a| a.image_gb).sum();
+        let mean_gb = images_gb / self.arrivals.len().max(1) as f64;
+        let lead_s = flavor.boot_s + mean_gb / flavor.fetch_gb_per_s.max(0.01);
         [false, true]
             .map(|spot| {
                 // What comes while a machine boots; in a large fleet about as much comes free
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -281,6 +281,7 @@
     at: Millis,
     /// How many machines it takes.
     share: f64,
+    image_gb: f64,
     /// Whether spot machines will do.
     spot: bool,
     /// Whether it may have other work stopped.
--- a/src/cycle.rs
+++ b/src/cycle.rs
@@ -32,6 +32,9 @@
 /// Small lasting tasks keep apart where fetches are slow: a machine full of them has images that
 /// nobody else can use. For a whole machine taken, so much for each second of a fetch.
 const APART_SECOND: f64 = 0.4;
+/// Tasks that end soon and have to fetch spread over machines where that is slow: later ones find
+/// their image on more machines. For a whole machine taken, so much for each second of a fetch.
+const COLD_SECOND: f64 = 0.05;
 const UNTRIED: f64 = 4.0;
 /// Small lasting tasks keep off machines that urgent work may want whole.
 const WHOLE: f64 = 2.5;
@@ -96,6 +99,8 @@
     let as_score = |yes: bool| f64::from(u8::from(yes));
     let lasts = !spec.yields() && spec.room.share_of(candidate.whole) < 0.5;
     let breaks = candidate.yielding && lasts;
+    let spreads =
+        as_score(spec.yields() && !cached) * used.share_of(candidate.whole) * candidate.fetch_s;
     let crowds = as_score(lasts) * candidate.firm * candidate.fetch_s;
     IMAGE * as_score(cached) - FETCH_SECOND * candidate.image_s
         + FULLNESS * used.share_of(candidate.whole)
@@ -103,6 +108,7 @@
         + UNTRIED * as_score(!failed_here)
         + WHOLE * as_score(!breaks)
         - APART_SECOND * crowds
+        - COLD_SECOND * spreads
 }
 
 /// The best machine, or the checks that rejected all.
@@ -147,6 +153,43 @@
         }
     }
 
+    /// Array tasks that had to fetch filled machines four at a time, and a minute's fetch served one
+    /// machine; those that find their image still fill machines.
+    #[test]
+    fn tasks_that_fetch_slowly_spread() {
+        let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+        (spec.shape, spec.rank) = (crate::jobs::Shape::Array, Rank::Normal);
+        (spec.room, spec.image_gb, spec.checkpoint_s) = (room(1.0), 7.0, 15.0);
+        assert!(spec.yields());
+        let cases = [
+            // gigabytes a second, cached, fills
+            (0.8, false, true),
+            (0.5, false, true),
+            (0.12, false, false),
+            (0.12, true, true),
+        ];
+        for (rate, cached, fills) in cases {
+            let block = BlockId::parse("a.0").unwrap();
+            let (rig, zone) = ("g4".into(), "a".into());
+            let mut machine = Machine::new("vm-1".into(), rig, zone, false, block, "n0".into());
+            if cached {
+                machine.note_image(&spec.image, 7.0, 80.0, crate::types::Millis(0));
+            }
+            let fetch_s = spec.image_gb / rate;
+            let at = |taken: f64| Candidate {
+                machine: &machine,
+                whole: room(4.0),
+                free: room(4.0 - taken),
+                yielding: true,
+                image_s: if cached { 0.0 } else { fetch_s },
+                fetch_s,
+                firm: 0.0,
+            };
+            let (beside, alone) = (score(&spec, &at(2.0), false), score(&spec, &at(0.0), false));
+            assert_eq!(beside > alone, fills, "{rate} GB/s: {beside}, {alone}");
+        }
+    }
+
     /// Replicas filled machines four at a time, so where an image took a minute to fetch, all the
     /// machines that had it were full of work that never gives way, and each new replica fetched.
     #[test]
