--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -32,8 +32,8 @@
 const SOLD_OUT: Millis = Millis(15_000);
 /// A machine that takes this many times its usual boot time never comes up.
 const NEVER: f64 = 3.0;
-/// A fetch that takes no more than this part of a boot is no reason to keep a machine.
-const FETCH_IN_BOOT: f64 = 0.5;
+/// What a quick fetch and the first report take, about.
+const QUICK_FETCH_S: f64 = 8.0;
 /// The kind of objective that says how soon work should start.
 const STARTS: &str = "wait";
 /// Arrivals of this long tell the rate.
@@ -48,16 +48,10 @@
 const MOST_RENTED: u32 = 50;
 const MOST_DELETED: usize = 100;
 
-/// Seconds of fetching that go with a machine's cache when it is returned. What a new machine has
-/// in less than part of the time it takes to boot is not worth paying for.
+/// Seconds of fetching that go with a machine's cache when it is returned.
 fn cache_worth_s(machine: &Machine, flavor: &Flavor) -> f64 {
-    let rate = flavor.fetch_gb_per_s.max(0.01);
-    let beyond = |gb: f64| (gb / rate - FETCH_IN_BOOT * flavor.boot_s).max(0.0);
-    machine
-        .images
-        .values()
-        .map(|cached| beyond(cached.gb))
-        .sum()
+    let cached = machine.images.values();
+    cached.map(|cached| flavor.slow_s(cached.gb)).sum()
 }
 
 impl Controller {
@@ -582,7 +576,7 @@
         // A machine serves once it has booted and fetched an image.
         let images_gb: f64 = self.arrivals.iter().map(|a| a.image_gb).sum();
         let mean_gb = images_gb / self.arrivals.len().max(1) as f64;
-        let lead_s = flavor.boot_s + mean_gb / flavor.fetch_gb_per_s.max(0.01);
+        let lead_s = flavor.boot_s + QUICK_FETCH_S + flavor.slow_s(mean_gb);
         [false, true]
             .map(|spot| {
                 // What comes while a machine boots; in a large fleet about as much comes free
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -200,6 +200,7 @@
                     yielding: self.jobs.yielding(&machine.host),
                     image_s: job.map_or(0.0, |job| self.image_s(machine, &job.spec)),
                     fetch_s: gb / self.fetch_rate(machine),
+                    slow_s: self.flavor(&machine.rig).map_or(0.0, |f| f.slow_s(gb)),
                     firm: on_it.taken.minus(on_it.soft).share_of(whole),
                 }
             })
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -25,6 +25,16 @@
     pub zones: Vec<Zone>,
 }
 
+/// A fetch that takes no more than this part of a boot is quick: it is not worth spending machines on.
+const QUICK: f64 = 0.5;
+
+impl Flavor {
+    /// Seconds that an image takes to fetch, beyond a quick fetch.
+    pub fn slow_s(&self, gb: f64) -> f64 {
+        (gb / self.fetch_gb_per_s.max(0.01) - QUICK * self.boot_s).max(0.0)
+    }
+}
+
 /// Where the leader keeps the machine types, for controllers that start while the cloud is away.
 pub const FLAVORS: &str = "jt/flavors";
 
