--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -42,8 +42,9 @@
 const SPREAD: f64 = 2.0;
 /// Arrivals seen for less time than this tell too little of their rate.
 const LEAST_SEEN: Millis = Millis(30_000);
-/// Nothing idle is returned before arrivals have been seen for this long.
+/// Idle machines are returned one by one before arrivals have been seen for this long.
 const RETURNS_AFTER: Millis = Millis(90_000);
+const RETURN_EVERY: Millis = Millis(3_000);
 /// The most machines one request may ask for.
 const MOST_RENTED: u32 = 50;
 const MOST_DELETED: usize = 100;
@@ -373,7 +374,11 @@
         // nor what usually comes for them.
         let returns = self.now.since(self.arrivals_since) >= RETURNS_AFTER;
         if !returns {
-            plan.release.clear();
+            let due = self.now.since(self.fleet.returned) >= RETURN_EVERY;
+            plan.release.truncate(usize::from(due));
+        }
+        if !plan.release.is_empty() {
+            self.fleet.returned = self.now;
         }
         let waiting = self
             .jobs
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -109,6 +109,8 @@
     /// Rental requests under way.
     pub renting: HashMap<u64, (Offer, u32)>,
     pub hires: u64,
+    /// When machines were last chosen to be returned.
+    pub returned: Millis,
     pub logged: Millis,
     pub list_started: Millis,
     pub listing: bool,
