One rate of fetches, one look at a machine for each candidate, no score that nobody reads

The rate of a machine type was bounded in four places and looked up in three ways; Flavor::rate and fetch_rate serve all. A cycle's candidates take the job they are for instead of looking it up, with what is on a machine and its type's rate once each. A set that was made to be poured into another is gone.

--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -395,8 +395,7 @@
         if returns && quiet && draining_idle.is_empty() {
             self.consolidate();
         }
-        let keep: HashSet<HostId> = plan.release.into_iter().collect();
-        self.drains.extend(keep);
+        self.drains.extend(plan.release);
         let ready: Vec<HostId> = draining_idle
             .into_iter()
             .filter(|host| self.drained(host))
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -8,9 +8,9 @@
 
 use super::{Controller, Effect, Pool};
 use crate::cycle::{self, Asking, Candidate};
-use crate::fleet::Flavor;
+use crate::fleet::{Flavor, fetch_rate};
 use crate::jobs::cache::{Change, Job, Writing};
-use crate::jobs::{Placement, Rank, Shape, Spec};
+use crate::jobs::{Placement, Rank, Shape};
 use crate::peers::{MachineView, Message, Pulse, Status};
 use crate::preempt::{self, Site, Victim};
 use crate::queue::{Check, Event, Order};
@@ -180,11 +180,10 @@
 
     fn candidates<'a>(
         &'a self,
-        id: &'a JobId,
+        job: &'a Job,
         scope: Scope,
         zone: Option<&'a Zone>,
     ) -> impl Iterator<Item = Candidate<'a>> {
-        let job = self.jobs.get(id);
         let own = self.pool.own.iter().filter(move |_| scope != Scope::Others);
         let others = self.pool.others.iter().filter(move |_| scope != Scope::Own);
         own.chain(others)
@@ -192,32 +191,20 @@
             .filter(move |m| zone.is_none_or(|zone| m.zone == *zone))
             .map(move |machine| {
                 let (whole, on_it) = (self.whole(machine), self.jobs.host_use(&machine.host));
-                let gb = job.map_or(0.0, |job| job.spec.image_gb);
+                let rate = fetch_rate(&self.flavors, &machine.rig);
+                let (image, gb) = (&job.spec.image, job.spec.image_gb);
                 Candidate {
                     machine,
                     whole,
-                    free: self.free_for(machine, id),
-                    yielding: self.jobs.yielding(&machine.host),
-                    image_s: job.map_or(0.0, |job| self.image_s(machine, &job.spec)),
-                    fetch_s: gb / self.fetch_rate(machine),
-                    slow_s: self.flavor(&machine.rig).map_or(0.0, |f| f.slow_s(gb)),
+                    free: self.free_for(machine, &job.id),
+                    yielding: on_it.yielding(),
+                    image_s: machine.image_s(image, gb, rate, self.now),
+                    fetch_s: gb / rate,
                     firm: on_it.taken.minus(on_it.soft).share_of(whole),
                 }
             })
     }
 
-    /// Seconds until a job's image would be on a machine.
-    fn image_s(&self, machine: &Machine, spec: &Spec) -> f64 {
-        let rate = self.fetch_rate(machine);
-        machine.image_s(&spec.image, spec.image_gb, rate, self.now)
-    }
-
-    /// Gigabytes a second at which a machine fetches images.
-    pub(super) fn fetch_rate(&self, machine: &Machine) -> f64 {
-        let flavor = self.flavor(&machine.rig);
-        flavor.map_or(1.0, |f| f.fetch_gb_per_s.max(0.01))
-    }
-
     /// Filters and scores the machines for the next task of a job.
     fn choose(
         &mut self,
@@ -232,7 +219,7 @@
                 return Err(BTreeSet::new());
             };
             let asking = Asking::new(job, self.full_blocks(job, raise));
-            let host = cycle::choose(&asking, self.candidates(id, scope, zone))?;
+            let host = cycle::choose(&asking, self.candidates(job, scope, zone))?;
             let usable = |m: &Machine| self.ours(m) || self.others(m);
             if self.machines.get(&host).is_some_and(usable) {
                 return Ok(host);
@@ -306,7 +293,7 @@
             return false;
         };
         let asking = Asking::new(job, self.full_blocks(job, None));
-        let mut cached = self.candidates(id, scope, None).filter(|candidate| {
+        let mut cached = self.candidates(job, scope, None).filter(|candidate| {
             cycle::filter(&asking, candidate).is_none()
                 && candidate.machine.images.contains_key(&job.spec.image)
         });
@@ -549,7 +536,7 @@
         };
         let asking = Asking::new(job, Vec::new());
         let mut room: BTreeMap<&Zone, u32> = BTreeMap::new();
-        for candidate in self.candidates(id, scope, None) {
+        for candidate in self.candidates(job, scope, None) {
             if cycle::filter(&asking, &candidate).is_none() {
                 let each = candidate.free.holds(job.spec.room);
                 *room.entry(&candidate.machine.zone).or_default() += each;
@@ -761,6 +748,8 @@
                 }
             })
         };
+        let rate = fetch_rate(&self.flavors, &machine.rig);
+        let (image, gb) = (&job.spec.image, job.spec.image_gb);
         Site {
             host: machine.host.clone(),
             free: self.free_for(machine, &job.id),
@@ -769,7 +758,7 @@
                 .on_host(&machine.host)
                 .filter_map(victim)
                 .collect(),
-            delay_s: self.image_s(machine, &job.spec),
+            delay_s: machine.image_s(image, gb, rate, self.now),
         }
     }
 
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -5,11 +5,12 @@
 use rustc_hash::FxHashSet as HashSet;
 
 use super::{Controller, DirectAnswer, Effect};
+use crate::fleet::{Flavor, fetch_rate};
 use crate::jobs::Shape;
 use crate::jobs::cache::{Change, Evidence, Job};
 use crate::queue;
 use crate::types::{
-    Attempt, BlockId, HostId, JobId, Millis, ReplyId, Session, Sku, TaskId, Token, Zone,
+    Attempt, BlockId, HostId, JobId, Millis, ReplyId, Session, TaskId, Token, Zone,
 };
 use crate::workers::reconcile::{Stop, reconcile};
 use crate::workers::wire::{Cause, Order, Report, ReportAnswer, TaskStage};
@@ -297,12 +298,8 @@
 
     /// Whether tasks of a gang may still be fetching its image, wherever they were placed.
     fn gathering(&self, job: &Job) -> bool {
-        let rate = self
-            .flavors
-            .iter()
-            .map(|flavor| flavor.fetch_gb_per_s)
-            .fold(f64::MAX, f64::min);
-        let fetch_s = job.spec.image_gb / rate.max(0.01);
+        let rates = self.flavors.iter().map(Flavor::rate);
+        let fetch_s = job.spec.image_gb / rates.fold(f64::MAX, f64::min);
         let most = self.settings.deployment.workers.gang_wait_s + FETCHES_LAST * fetch_s;
         job.whole_gang() && self.now.since(job.settled) < Millis::from_secs(most)
     }
@@ -533,15 +530,9 @@
             }
         }
         self.note_changes(changes);
-        let rates: Vec<(Sku, f64)> = self
-            .flavors
-            .iter()
-            .map(|flavor| (flavor.sku.clone(), flavor.fetch_gb_per_s.max(0.01)))
-            .collect();
         let now = self.now;
         for machine in self.machines.values_mut().filter(|m| !m.coming.is_empty()) {
-            let rate = rates.iter().find(|(sku, _)| *sku == machine.rig);
-            machine.forget_fetches(rate.map_or(1.0, |(_, rate)| *rate), now);
+            machine.forget_fetches(fetch_rate(&self.flavors, &machine.rig), now);
         }
         let jobs = &self.jobs;
         self.stops.retain(|task, stop| {
--- a/src/cycle.rs
+++ b/src/cycle.rs
@@ -19,8 +19,6 @@
     pub image_s: f64,
     /// Seconds that its fetch takes here by itself.
     pub fetch_s: f64,
-    /// What that takes beyond a quick fetch.
-    pub slow_s: f64,
     /// The part of the machine that is taken by work that does not give way.
     pub firm: f64,
 }
@@ -35,8 +33,7 @@
 /// nobody else can use. For a whole machine taken, so much for each second of a fetch.
 const APART_SECOND: f64 = 0.4;
 /// Tasks that end soon and have to fetch spread over machines where that is slow: later ones find
-/// their image on more machines. For a whole machine taken, so much for each second beyond a
-/// quick fetch.
+/// their image on more machines. For a whole machine taken, so much for each second of a fetch.
 const COLD_SECOND: f64 = 0.08;
 const UNTRIED: f64 = 4.0;
 /// Small lasting tasks keep off machines that urgent work may want whole.
@@ -186,7 +183,6 @@
                 yielding: true,
                 image_s: if cached { 0.0 } else { fetch_s },
                 fetch_s,
-                slow_s: (fetch_s - 22.5).max(0.0),
                 firm: 0.0,
             };
             let (beside, alone) = (score(&spec, &at(2.0), false), score(&spec, &at(0.0), false));
@@ -217,7 +213,6 @@
                 yielding: taken == 0.0,
                 image_s: fetch_s,
                 fetch_s,
-                slow_s: (fetch_s - 22.5).max(0.0),
                 firm: taken / 4.0,
             };
             let beside = score(&spec, &at(&used, 1.0), false);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -31,8 +31,19 @@
 impl Flavor {
     /// Seconds that an image takes to fetch, beyond a quick fetch.
     pub fn slow_s(&self, gb: f64) -> f64 {
-        (gb / self.fetch_gb_per_s.max(0.01) - QUICK * self.boot_s).max(0.0)
+        (gb / self.rate() - QUICK * self.boot_s).max(0.0)
     }
+
+    /// Gigabytes a second at which images are fetched.
+    pub fn rate(&self) -> f64 {
+        self.fetch_gb_per_s.max(0.01)
+    }
+}
+
+/// Gigabytes a second at which a machine of a type fetches images.
+pub fn fetch_rate(flavors: &[Flavor], sku: &Sku) -> f64 {
+    let flavor = flavors.iter().find(|flavor| flavor.sku == *sku);
+    flavor.map_or(1.0, Flavor::rate)
 }
 
 /// Where the leader keeps the machine types, for controllers that start while the cloud is away.
--- a/src/jobs/cache.rs
+++ b/src/jobs/cache.rs
@@ -262,6 +262,11 @@
 }
 
 impl HostUse {
+    /// Whether all of it gives way to urgent work.
+    pub fn yielding(&self) -> bool {
+        self.firm == 0
+    }
+
     fn add(&mut self, spec: &Spec, committed: bool) {
         self.tasks += 1;
         self.taken = self.taken.plus(spec.room);
@@ -400,7 +405,7 @@
 
     /// Whether all work on a host gives way to urgent work.
     pub fn yielding(&self, host: &HostId) -> bool {
-        self.host_use(host).firm == 0
+        self.host_use(host).yielding()
     }
 
     /// What a team's tasks use, by the records and by what is reserved.
