A workspace; the tests' region becomes a package of its own, crates/region

The only model of the state service, the cloud and the workers lay in the tests, in one file with the clock and the luck of its driver, so nothing else could use it. It is now a package: models without I/O (state, cloud, machines, rules) and a driver in virtual time (sim). Machines keep images by name, save progress, and hang; gangs save together; the state service keeps 10,000 changes; users poll on after the end; all rules but forgotten-by-silence are checked at every step.

--- /dev/null
+++ b/crates/region/src/config.rs
@@ -0,0 +1,294 @@
+//! What a region is made of, with its defaults, and the settings its controllers get.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use ini::Ini;
+use jaspertiller::settings::TeamSettings;
+use jaspertiller::types::{Millis, Room, Sku, Zone};
+use serde_json::{Value, json};
+
+/// A region file that can't be used: which file, which field, and why.
+#[derive(Debug, thiserror::Error)]
+#[error("{file}: {field}: {reason}")]
+pub struct ConfigError {
+    pub file: String,
+    pub field: String,
+    pub reason: String,
+}
+
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub controllers: usize,
+    pub zones: Vec<Zone>,
+    pub teams: Vec<TeamSettings>,
+    pub timing: Timing,
+    pub rig: Rig,
+    /// Machines that the cloud has to give.
+    pub capacity: u32,
+    /// How old the cloud's list of machines is.
+    pub list_lag: Millis,
+    pub state: StateLimits,
+}
+
+/// How often workers report, and how long things may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    pub report: Millis,
+    pub lease: Millis,
+    pub gang_wait: Millis,
+    pub gang_peer: Millis,
+    pub cancel: Millis,
+}
+
+/// The region's machine type.
+#[derive(Clone, Debug)]
+pub struct Rig {
+    pub sku: Sku,
+    pub room: Room,
+    pub fetch_gb_per_s: f64,
+    pub boot: Millis,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+pub fn team(name: &str, gpus: f64, gpus_max: f64) -> TeamSettings {
+    TeamSettings {
+        name: name.into(),
+        cpus: 0.0,
+        cpus_max: 0.0,
+        gpus,
+        gpus_max,
+    }
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            controllers: 3,
+            zones: vec!["a".into(), "b".into()],
+            teams: vec![team("small", 4.0, 6.0), team("large", 0.0, 0.0)],
+            timing: Timing {
+                report: Millis(1_500),
+                lease: Millis(12_000),
+                gang_wait: Millis(20_000),
+                gang_peer: Millis(3_000),
+                cancel: Millis(30_000),
+            },
+            rig: Rig {
+                sku: "g4".into(),
+                room: Room {
+                    cpus: 16.0,
+                    gpus: 4.0,
+                    memory_gb: 64.0,
+                },
+                fetch_gb_per_s: 1.0,
+                boot: Millis(4_000),
+            },
+            capacity: 10,
+            list_lag: Millis(2_000),
+            state: StateLimits {
+                rps: 100.0,
+                write_rps: 50.0,
+                value_kb: 8.0,
+                txn_ops: 12,
+            },
+        }
+    }
+}
+
+/// The file's keys: section, key, smallest and largest value, and where it goes.
+type Setter = fn(&mut Config, f64);
+const KEYS: &[(&str, &str, f64, f64, Setter)] = &[
+    ("region", "controllers", 1.0, 9.0, |c, v| {
+        c.controllers = v as usize
+    }),
+    ("machines", "capacity", 1.0, 200.0, |c, v| {
+        c.capacity = v as u32
+    }),
+    ("machines", "cpus", 1.0, 1024.0, |c, v| c.rig.room.cpus = v),
+    ("machines", "gpus", 0.0, 64.0, |c, v| c.rig.room.gpus = v),
+    ("machines", "memory_gb", 1.0, 65_536.0, |c, v| {
+        c.rig.room.memory_gb = v
+    }),
+    ("machines", "boot_s", 0.1, 3600.0, |c, v| {
+        c.rig.boot = Millis::from_secs(v)
+    }),
+    ("machines", "fetch_gb_per_s", 0.01, 100.0, |c, v| {
+        c.rig.fetch_gb_per_s = v
+    }),
+    ("workers", "report_s", 0.5, 60.0, |c, v| {
+        c.timing.report = Millis::from_secs(v)
+    }),
+    ("workers", "lease_s", 5.0, 600.0, |c, v| {
+        c.timing.lease = Millis::from_secs(v)
+    }),
+    ("workers", "cancel_s", 10.0, 600.0, |c, v| {
+        c.timing.cancel = Millis::from_secs(v)
+    }),
+    ("state", "rps", 10.0, 100_000.0, |c, v| c.state.rps = v),
+    ("state", "write_rps", 10.0, 100_000.0, |c, v| {
+        c.state.write_rps = v
+    }),
+];
+
+type Amount = fn(&mut TeamSettings) -> &mut f64;
+const TEAM_KEYS: &[(&str, Amount)] = &[
+    ("cpus", |t| &mut t.cpus),
+    ("cpus_max", |t| &mut t.cpus_max),
+    ("gpus", |t| &mut t.gpus),
+    ("gpus_max", |t| &mut t.gpus_max),
+];
+
+impl Config {
+    pub fn read(path: &Path) -> Result<Self, ConfigError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| ConfigError {
+            file: file.clone(),
+            field: "file".into(),
+            reason: e.to_string(),
+        })?;
+        Self::parse(&file, &text)
+    }
+
+    /// Reads `[region]`, `[machines]`, `[workers]`, `[state]`, and a `[team NAME]` for each team.
+    pub fn parse(file: &str, text: &str) -> Result<Self, ConfigError> {
+        let problem = |field: &str, reason: String| ConfigError {
+            file: file.into(),
+            field: field.into(),
+            reason,
+        };
+        let ini = Ini::load_from_str(text).map_err(|e| problem("file", e.to_string()))?;
+        let mut config = Self::default();
+        if ini
+            .sections()
+            .flatten()
+            .any(|section| section.starts_with("team "))
+        {
+            config.teams.clear();
+        }
+        for (section, entries) in ini.iter() {
+            let section = section.unwrap_or("");
+            let mut its_team = section
+                .strip_prefix("team ")
+                .map(|name| team(name.trim(), 0.0, 0.0));
+            for (key, text) in entries.iter() {
+                let field = format!("[{section}] {key}");
+                if section == "region" && key == "zones" {
+                    config.zones = text.split_whitespace().map(Zone::from).collect();
+                    if config.zones.is_empty() {
+                        return Err(problem(&field, "must name a zone".into()));
+                    }
+                    continue;
+                }
+                let value: f64 = text
+                    .trim()
+                    .parse()
+                    .map_err(|_| problem(&field, "must be a number".into()))?;
+                if let Some(team) = &mut its_team {
+                    let known = TEAM_KEYS.iter().find(|(name, _)| *name == key);
+                    let (_, slot) = known.ok_or_else(|| problem(&field, "unknown key".into()))?;
+                    if !(0.0..=1e9).contains(&value) {
+                        return Err(problem(&field, "must lie between 0 and 1e9".into()));
+                    }
+                    *slot(team) = value;
+                    continue;
+                }
+                let known = KEYS.iter().find(|k| k.0 == section && k.1 == key);
+                let (_, _, least, most, set) =
+                    known.ok_or_else(|| problem(&field, "unknown key".into()))?;
+                if !(*least..=*most).contains(&value) {
+                    return Err(problem(
+                        &field,
+                        format!("must lie between {least} and {most}"),
+                    ));
+                }
+                set(&mut config, value);
+            }
+            config.teams.extend(its_team);
+        }
+        Ok(config)
+    }
+
+    pub fn label(index: usize) -> String {
+        format!("n{index}")
+    }
+
+    fn zone_of(&self, index: usize) -> &Zone {
+        &self.zones[index % self.zones.len()]
+    }
+
+    /// The settings file of one controller. `addresses`: of each controller, for its users and for
+    /// the others; `cloud` and `state`: of the region's services.
+    pub fn settings(
+        &self,
+        index: usize,
+        addresses: &[(SocketAddr, SocketAddr)],
+        cloud: SocketAddr,
+        state: SocketAddr,
+    ) -> Value {
+        let members: Vec<Value> = (0..self.controllers)
+            .filter(|i| *i != index)
+            .map(|i| {
+                json!({"label": Self::label(i), "zone": self.zone_of(i),
+                    "address": addresses[i].1.to_string()})
+            })
+            .collect();
+        let teams: Vec<Value> = self
+            .teams
+            .iter()
+            .map(|t| {
+                json!({"name": t.name, "cpus": t.cpus, "cpus_max": t.cpus_max,
+                    "gpus": t.gpus, "gpus_max": t.gpus_max})
+            })
+            .collect();
+        let t = &self.timing;
+        json!({
+            "label": Self::label(index), "zone": self.zone_of(index),
+            "public_addr": addresses[index].0.to_string(),
+            "peer_bind": addresses[index].1.to_string(), "members": members,
+            "outside": {"cloud": cloud.to_string(), "state": state.to_string()},
+            "deployment": {"count": self.controllers, "zones": self.zones, "objectives": [],
+                "teams": teams,
+                "workers": {"report_s": t.report.secs(), "lease_s": t.lease.secs(),
+                    "gang_wait_s": t.gang_wait.secs(), "gang_peer_s": t.gang_peer.secs(),
+                    "cancel_s": t.cancel.secs()},
+                "state": {"rps": self.state.rps, "write_rps": self.state.write_rps,
+                    "value_kb": self.state.value_kb, "txn_ops": self.state.txn_ops},
+                "cloud": {"rps": 5.0, "list_lag_s": self.list_lag.secs() * 2.0},
+                "quota": {"cores": 0.2, "mem_mb": 100.0, "sockets": 1000},
+                "clock_error_ms": 100.0}
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_wrong_field_is_named() {
+        let good = "[region]\ncontrollers = 2\nzones = x y\n[team t]\ngpus = 3\n";
+        let config = Config::parse("f", good).unwrap();
+        assert_eq!((config.controllers, config.zones.len()), (2, 2));
+        assert_eq!(config.teams[0].gpus, 3.0);
+        let cases = [
+            ("[region]\ncontrollers = 0\n", "[region] controllers"),
+            ("[region]\nzones =\n", "[region] zones"),
+            ("[machines]\ncapacity = many\n", "[machines] capacity"),
+            ("[machines]\nwheels = 4\n", "[machines] wheels"),
+            ("[team t]\ngpus = NaN\n", "[team t] gpus"),
+            ("[team t]\nbikes = 1\n", "[team t] bikes"),
+        ];
+        for (text, field) in cases {
+            let error = Config::parse("f.ini", text).unwrap_err().to_string();
+            assert!(error.starts_with(&format!("f.ini: {field}: ")), "{error}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/region/src/rules.rs
@@ -0,0 +1,238 @@
+//! The rules of the protocol, checked on everything that happens, and what users were told.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+
+use jaspertiller::jobs::Spec;
+use jaspertiller::jobs::api::{JobState, Stage};
+use jaspertiller::settings::TeamSettings;
+use jaspertiller::types::{HostId, JobId, Millis, Room, TaskId, Team};
+
+use crate::config::{Config, Timing};
+use crate::machines::Machines;
+
+/// For so long polls of one job may fail while others are answered.
+const FORGOTTEN: Millis = Millis(90_000);
+
+/// The rules' names, as the protocol has them.
+pub const RULES: &[&str] = &[
+    "ran_twice",
+    "quota",
+    "wrong_place",
+    "ran_cancelled",
+    "forgotten",
+    "invented",
+    "not_done",
+    "went_back",
+    "nothing_ran",
+];
+
+/// What a user was told.
+#[derive(Clone, Debug)]
+pub enum Told {
+    /// Accepted now, or known already.
+    State(Stage),
+    NotFound,
+    /// 400 or 422.
+    Refused(u16),
+    /// Any other status, or no answer.
+    Later,
+}
+
+impl From<&JobState> for Told {
+    fn from(state: &JobState) -> Self {
+        Told::State(state.stage)
+    }
+}
+
+/// Teams whose tasks together may use only so much.
+pub struct Group {
+    pub name: String,
+    pub teams: Vec<Team>,
+    pub cpus_max: f64,
+    pub gpus_max: f64,
+}
+
+impl Group {
+    pub fn team(team: &TeamSettings) -> Self {
+        Self {
+            name: team.name.to_string(),
+            teams: vec![team.name.clone()],
+            cpus_max: team.cpus_max,
+            gpus_max: team.gpus_max,
+        }
+    }
+}
+
+#[derive(Default)]
+pub struct Rules {
+    pub violations: BTreeSet<String>,
+    pub groups: Vec<Group>,
+    pub accepted: HashSet<JobId>,
+    pub done: HashSet<JobId>,
+    pub aborted: HashMap<JobId, Millis>,
+    pub wanted_aborts: HashSet<JobId>,
+    pub submitted: HashSet<JobId>,
+    /// When a poll of each was last answered, and any poll.
+    polled: HashMap<JobId, Millis>,
+    answered: Millis,
+    pub starts: u64,
+    cancel: Millis,
+}
+
+impl Rules {
+    pub fn new(config: &Config) -> Self {
+        let Timing { cancel, .. } = config.timing;
+        Self {
+            groups: config.teams.iter().map(Group::team).collect(),
+            cancel,
+            ..Self::default()
+        }
+    }
+
+    fn broken(&mut self, rule: &str, what: impl std::fmt::Display) {
+        if self.violations.len() < 100 {
+            self.violations.insert(format!("{rule}: {what}"));
+        }
+    }
+
+    /// What the answer to a submission, poll or cancellation says.
+    pub fn told(&mut self, id: &JobId, told: &Told, machines: &Machines, now: Millis) {
+        match told {
+            Told::Later => {
+                let last = self.polled.get(id).copied().unwrap_or(now);
+                let others = self.answered.since(last);
+                if self.accepted.contains(id) && others > FORGOTTEN {
+                    self.broken("forgotten", format!("{id}: no answer since {} ms", last.0));
+                }
+                self.polled.entry(id.clone()).or_insert(now);
+                return;
+            }
+            Told::NotFound if self.accepted.contains(id) => {
+                self.broken("forgotten", format!("{id}: not found"));
+            }
+            Told::Refused(status) if self.accepted.contains(id) => {
+                self.broken("forgotten", format!("{id}: {status}"));
+            }
+            Told::NotFound | Told::Refused(_) => {}
+            Told::State(stage) => self.state(id, *stage, machines, now),
+        }
+        self.polled.insert(id.clone(), now);
+        self.answered = now;
+    }
+
+    fn state(&mut self, id: &JobId, stage: Stage, machines: &Machines, now: Millis) {
+        if !self.submitted.contains(id) {
+            return self.broken("invented", id);
+        }
+        self.accepted.insert(id.clone());
+        match stage {
+            Stage::Done => {
+                let tasks = machines.jobs.get(id).map_or(0, |job| job.spec.tasks);
+                let task = |index| TaskId {
+                    job: id.clone(),
+                    index,
+                };
+                let left = (0..tasks).find(|i| !machines.completed.contains(&task(*i)));
+                if let Some(index) = left {
+                    self.broken("not_done", format!("{id}/{index}"));
+                }
+                if self.aborted.contains_key(id) {
+                    self.broken("went_back", format!("{id} from cancelled to done"));
+                }
+                self.done.insert(id.clone());
+            }
+            Stage::Aborted => {
+                if self.done.contains(id) || !self.wanted_aborts.contains(id) {
+                    self.broken("went_back", format!("{id} to cancelled"));
+                }
+                self.aborted.entry(id.clone()).or_insert(now);
+            }
+            _ if self.done.contains(id) || self.aborted.contains_key(id) => {
+                self.broken("went_back", format!("{id} to {stage:?}"));
+            }
+            _ => {}
+        }
+    }
+
+    /// Looks at all machines after a step in which these tasks came on theirs.
+    pub fn check(&mut self, started: &[(HostId, TaskId)], machines: &Machines, now: Millis) {
+        self.starts += started.len() as u64;
+        let present: Vec<(&HostId, &TaskId)> = machines.present(now).collect();
+        let spec = |id: &JobId| machines.jobs.get(id).map(|job| &job.spec);
+        for (host, task) in &present {
+            let told = self.aborted.get(&task.job);
+            if told.is_some_and(|at| now.since(*at) > self.cancel) {
+                self.broken("ran_cancelled", format!("{task} on {host} at {}", now.0));
+            }
+        }
+        if started.is_empty() {
+            return;
+        }
+        let mut where_is: BTreeMap<&TaskId, Vec<&HostId>> = BTreeMap::new();
+        let mut used: BTreeMap<&Team, Room> = BTreeMap::new();
+        for (host, task) in &present {
+            where_is.entry(task).or_default().push(host);
+            if let Some(spec) = spec(&task.job) {
+                let sum = used.entry(&spec.team).or_default();
+                *sum = sum.plus(spec.room);
+            }
+        }
+        for (host, task) in started {
+            let on = where_is.get(task).map_or(&[][..], Vec::as_slice);
+            if let Some(other) = on.iter().find(|other| **other != host) {
+                let at = now.0;
+                self.broken("ran_twice", format!("{task} on {host} and {other} at {at}"));
+            }
+            let Some(spec) = spec(&task.job) else {
+                self.broken("invented", format!("{task} started"));
+                continue;
+            };
+            if let Some(why) = wrong_place(host, task, spec, &present, machines) {
+                self.broken("wrong_place", why);
+            }
+        }
+        for index in 0..self.groups.len() {
+            let group = &self.groups[index];
+            let rooms = group.teams.iter().filter_map(|team| used.get(team));
+            let sum = rooms.fold(Room::default(), |sum, room| sum.plus(*room));
+            let over = |used: f64, most: f64| most > 0.0 && used > most + 1e-6;
+            if over(sum.cpus, group.cpus_max) || over(sum.gpus, group.gpus_max) {
+                let what = format!("{} uses {sum:?} at {}", group.name, now.0);
+                self.broken("quota", what);
+            }
+        }
+    }
+
+    /// The last rule: something must have run.
+    pub fn finish(&mut self) {
+        if self.starts == 0 {
+            self.broken("nothing_ran", "no task was started");
+        }
+    }
+}
+
+fn wrong_place(
+    host: &HostId,
+    task: &TaskId,
+    spec: &Spec,
+    present: &[(&HostId, &TaskId)],
+    machines: &Machines,
+) -> Option<String> {
+    let machine = machines.hosts.get(host)?;
+    if machine.spot && !spec.spot {
+        return Some(format!("{task} on a spot machine"));
+    }
+    if spec.yard.as_ref().is_some_and(|yard| *yard != machine.zone) {
+        return Some(format!("{task} in zone {}", machine.zone));
+    }
+    let mut zones: BTreeMap<_, u32> = BTreeMap::new();
+    for (host, other) in present.iter().filter(|(_, other)| other.job == task.job) {
+        if let Some(machine) = machines.hosts.get(*host).filter(|_| other.job == task.job) {
+            *zones.entry(&machine.zone).or_default() += 1;
+        }
+    }
+    let here = zones.get(&machine.zone).copied().unwrap_or_default();
+    let apart = spec.one_zone && zones.len() > 1;
+    let crowded = spec.spread && here > spec.zone_share();
+    (apart || crowded).then(|| format!("{task} in {zones:?}"))
+}
--- /dev/null
+++ b/crates/region/src/sim.rs
@@ -0,0 +1,581 @@
+//! Whole controllers in a simulated region: virtual time, seeded luck, crashes, cuts and outages.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use jaspertiller::controller::{Controller, DirectAnswer, Effect, Event};
+use jaspertiller::fleet::CloudAnswer;
+use jaspertiller::jobs::Shape;
+use jaspertiller::jobs::api::{self, Response, Stage};
+use jaspertiller::peers::Message;
+use jaspertiller::settings::Settings;
+use jaspertiller::store::{Answer, Call};
+use jaspertiller::types::{HostId, JobId, Millis, NodeId, ReplyId, Revision, Session, Token};
+use jaspertiller::workers::wire::{Order, ReportAnswer};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
+
+use crate::cloud::Cloud;
+use crate::config::Config;
+use crate::machines::{Description, Machines, Outgoing};
+use crate::rules::{Rules, Told};
+use crate::state::StateService;
+
+/// Time passes for machines and leases in steps of so many milliseconds.
+const STEP: u64 = 50;
+const TICK: u64 = 100;
+/// A call that gets no answer is given up after so long.
+const CALL_LIMIT: u64 = 2_500;
+const DIRECT_LIMIT: u64 = 3_000;
+/// Entries on a page of the state service's list: few, so that lists take several.
+const PAGE: usize = 40;
+/// Keys of the service.
+const PREFIX: &str = "jt/";
+
+/// What can't reach what, and until when.
+#[derive(Clone)]
+pub struct Cut {
+    pub node: usize,
+    pub from_store: bool,
+    pub from_workers: bool,
+    pub from_peers: bool,
+    pub since: u64,
+    pub until: u64,
+    /// Held and delivered at the end, instead of lost.
+    pub hold: bool,
+}
+
+/// A job of the region's users.
+#[derive(Clone)]
+pub struct JobPlan {
+    pub body: Value,
+    pub run_ms: u64,
+    /// When it is submitted; none: some time in the first 30 s.
+    pub at: Option<u64>,
+}
+
+impl JobPlan {
+    pub fn id(&self) -> JobId {
+        self.body["id"].as_str().unwrap_or_default().into()
+    }
+}
+
+/// A job of `tasks` tasks that run `run_ms` each; services run until cancelled.
+pub fn job(id: usize, team: &str, shape: &str, tasks: u32, gpus: f64, run_ms: u64) -> JobPlan {
+    let array = shape == "sweep";
+    let body = json!({"id": format!("job-{id:06}"), "lot": "x", "crew": team, "shape": shape,
+        "rank": if array { "normal" } else { "urgent" }, "picks": tasks,
+        "vcpus": 1.0, "accelerators": gpus, "memoryGb": 1.0, "kit": format!("img-{id}"),
+        "sizeGb": 0.7, "rigs": null, "yard": null, "oneZone": shape == "gang",
+        "spread": shape == "standing", "loaners": array, "expectS": run_ms as f64 / 1e3,
+        "markS": if array { 2.0 } else { 0.0 }, "stashS": 1.0, "dueS": null});
+    JobPlan {
+        body,
+        run_ms,
+        at: None,
+    }
+}
+
+enum Msg {
+    Step,
+    Tick(usize, u64),
+    /// To a node, if it is still the same process.
+    Node(usize, u64, Box<Event>),
+    /// To the state service; whether an answer is still waited for.
+    Store(usize, u64, u64, Call, bool),
+    Direct(usize, u64, HostId, Token, Session, Vec<Order>, bool),
+    Report(Outgoing),
+    Answer(Outgoing, ReportAnswer),
+    Submit(usize),
+    Poll(JobId),
+    Abort(JobId),
+    Stop(usize),
+    Start(usize),
+}
+
+enum Owed {
+    Worker(Outgoing),
+    User(JobId),
+}
+
+pub struct World {
+    pub config: Config,
+    pub now: u64,
+    pub rng: SmallRng,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    messages: HashMap<u64, Msg>,
+    next: u64,
+    pub nodes: Vec<Option<Controller>>,
+    epochs: Vec<u64>,
+    pub settings: Vec<Arc<Settings>>,
+    owed: HashMap<ReplyId, Owed>,
+    pub store: StateService,
+    /// Who waits for each open watch: node, epoch, tag.
+    watches: HashMap<u64, (usize, u64, u64)>,
+    pub outages: Vec<(u64, u64)>,
+    pub cuts: Vec<Cut>,
+    /// Share of transactions whose answer is lost, and that may be applied seconds late.
+    pub lost_answers: f64,
+    pub machines: Machines,
+    pub cloud: Cloud,
+    pub cloud_down: Vec<(u64, u64)>,
+    pub jobs: Vec<JobPlan>,
+    pub rules: Rules,
+}
+
+impl World {
+    pub fn new(config: Config, seed: u64, jobs: Vec<JobPlan>) -> Self {
+        let address = |node: usize, port| SocketAddr::from(([10, 0, 0, node as u8], port));
+        let addresses: Vec<_> = (0..config.controllers)
+            .map(|i| (address(i, 1), address(i, 2)))
+            .collect();
+        let settings = (0..config.controllers).map(|i| {
+            let text = config.settings(i, &addresses, address(100, 1), address(101, 1));
+            let settings = Settings::parse("region", &text.to_string());
+            Arc::new(settings.unwrap_or_else(|e| panic!("{e}")))
+        });
+        let nodes = config.controllers;
+        let mut world = Self {
+            now: 1,
+            rng: SmallRng::seed_from_u64(seed),
+            queue: BinaryHeap::new(),
+            messages: HashMap::new(),
+            next: 0,
+            nodes: (0..nodes).map(|_| None).collect(),
+            epochs: vec![0; nodes],
+            settings: settings.collect(),
+            owed: HashMap::new(),
+            store: StateService::new(config.state),
+            watches: HashMap::new(),
+            outages: Vec::new(),
+            cuts: Vec::new(),
+            lost_answers: 0.0,
+            machines: Machines::new(&config, seed),
+            cloud: Cloud::new(&config),
+            cloud_down: Vec::new(),
+            jobs: Vec::new(),
+            rules: Rules::new(&config),
+            config,
+        };
+        world.post(1, Msg::Step);
+        for node in 0..nodes {
+            world.post(1 + node as u64, Msg::Start(node));
+        }
+        for plan in jobs {
+            world.submit(plan);
+        }
+        world
+    }
+
+    /// A user submits a job when its plan says.
+    pub fn submit(&mut self, plan: JobPlan) {
+        let early = 500 + self.rng.random_range(0..30_000);
+        let at = plan.at.unwrap_or(early);
+        self.jobs.push(plan);
+        self.post(at, Msg::Submit(self.jobs.len() - 1));
+    }
+
+    fn post(&mut self, at: u64, msg: Msg) {
+        self.next += 1;
+        self.messages.insert(self.next, msg);
+        self.queue.push(Reverse((at.max(self.now), self.next)));
+    }
+
+    pub fn crash(&mut self, node: usize, at: u64, back_after: u64) {
+        // A restart ends whatever process runs then.
+        self.post(at, Msg::Stop(node));
+        self.post(at + back_after, Msg::Start(node));
+    }
+
+    pub fn abort_at(&mut self, at: u64, job: usize) {
+        let id = self.jobs[job].id();
+        self.post(at, Msg::Abort(id));
+    }
+
+    fn alive(&self, index: usize) -> Option<HostId> {
+        let alive = self.machines.hosts.iter().filter(|(_, m)| m.dead.is_none());
+        alive.map(|(host, _)| host.clone()).nth(index)
+    }
+
+    pub fn kill_worker(&mut self, index: usize) {
+        if let Some(host) = self.alive(index) {
+            self.machines.kill(&host, Millis(self.now));
+        }
+    }
+
+    /// These machines reach nobody for a while.
+    pub fn cut_workers(&mut self, indices: &[usize], from: u64, until: u64) {
+        self.run_until(from);
+        for index in indices {
+            let host = self.alive(*index);
+            if let Some(machine) = host.and_then(|host| self.machines.hosts.get_mut(&host)) {
+                machine.unreachable_until = Millis(until);
+            }
+        }
+    }
+
+    /// A machine does nothing for a while, then goes on.
+    pub fn hang_worker(&mut self, index: usize, until: u64) {
+        let host = self.alive(index);
+        if let Some(machine) = host.and_then(|host| self.machines.hosts.get_mut(&host)) {
+            machine.hung_until = Millis(until);
+        }
+    }
+
+    pub fn make_sick(&mut self, index: usize) {
+        let host = self.alive(index);
+        if let Some(machine) = host.and_then(|host| self.machines.hosts.get_mut(&host)) {
+            machine.sick = true;
+        }
+    }
+
+    /// The cut that keeps a message from or to a node back, if any.
+    fn blocked(&self, node: usize, which: fn(&Cut) -> bool) -> Option<Cut> {
+        let now = self.now;
+        let holds = |c: &&Cut| c.node == node && which(c) && c.since <= now && now < c.until;
+        self.cuts.iter().find(holds).cloned()
+    }
+
+    fn during(&self, spans: &[(u64, u64)]) -> bool {
+        spans
+            .iter()
+            .any(|(from, to)| (*from..*to).contains(&self.now))
+    }
+
+    pub fn run_until(&mut self, end: u64) {
+        while let Some(Reverse((at, id))) = self.queue.peek().copied() {
+            if at > end {
+                break;
+            }
+            self.queue.pop();
+            self.now = self.now.max(at);
+            if let Some(msg) = self.messages.remove(&id) {
+                self.deliver(msg);
+                self.wake_watches();
+            }
+        }
+        self.now = end;
+    }
+
+    fn deliver(&mut self, msg: Msg) {
+        match msg {
+            Msg::Step => self.step(),
+            Msg::Stop(node) => self.nodes[node] = None,
+            Msg::Start(node) => {
+                self.epochs[node] += 1;
+                let seed = self.rng.random();
+                self.nodes[node] = Some(Controller::new(self.settings[node].clone(), seed));
+                self.post(self.now + 1, Msg::Tick(node, self.epochs[node]));
+            }
+            Msg::Tick(node, epoch) => {
+                if self.epochs[node] == epoch && self.nodes[node].is_some() {
+                    self.handle(node, Event::Tick);
+                    self.post(self.now + TICK, Msg::Tick(node, epoch));
+                }
+            }
+            Msg::Node(node, epoch, event) => {
+                if self.epochs[node] == epoch {
+                    self.handle(node, *event);
+                }
+            }
+            Msg::Store(node, epoch, tag, call, reply) => {
+                self.store_call(node, epoch, tag, call, reply);
+            }
+            Msg::Direct(node, epoch, host, token, session, orders, reply) => {
+                self.direct(node, epoch, host, token, session, orders, reply);
+            }
+            Msg::Report(out) => self.report_arrives(out),
+            Msg::Answer(out, answer) => self.machines.answered(&out, answer, Millis(self.now)),
+            Msg::Submit(index) => {
+                let body = self.jobs[index].body.to_string();
+                let submission = api::parse(body.as_bytes());
+                if let Ok((id, spec)) = &submission {
+                    // Users upload the description before they submit.
+                    let run = Millis(self.jobs[index].run_ms);
+                    let spec = spec.clone();
+                    let jobs = &mut self.machines.jobs;
+                    jobs.entry(id.clone()).or_insert(Description { spec, run });
+                    self.rules.submitted.insert(id.clone());
+                }
+                let id = self.jobs[index].id();
+                let reply = self.owe(Owed::User(id.clone()));
+                self.ask(Event::Submit { reply, submission });
+                // A user who hears nothing asks again.
+                if !self.over(&id) {
+                    self.post(self.now + 5_000, Msg::Submit(index));
+                }
+            }
+            Msg::Poll(job) => {
+                let reply = self.owe(Owed::User(job.clone()));
+                // They may ask again at any later time: an end must stay what it was.
+                let pause = if self.over(&job) { 9_000 } else { 2_000 };
+                self.post(self.now + pause, Msg::Poll(job.clone()));
+                self.ask(Event::Poll { reply, job });
+            }
+            Msg::Abort(job) => {
+                if self.over(&job) {
+                    return;
+                }
+                self.rules.wanted_aborts.insert(job.clone());
+                let reply = self.owe(Owed::User(job.clone()));
+                let again = self.now + 2_000;
+                self.post(again, Msg::Abort(job.clone()));
+                self.ask(Event::Abort { reply, job });
+            }
+        }
+    }
+
+    /// Whether the user knows that the job is over.
+    fn over(&self, id: &JobId) -> bool {
+        self.rules.aborted.contains_key(id) || self.rules.done.contains(id)
+    }
+
+    fn owe(&mut self, owed: Owed) -> ReplyId {
+        self.next += 1;
+        let reply = ReplyId(self.next);
+        self.owed.insert(reply, owed);
+        reply
+    }
+
+    /// A user reaches whichever controller.
+    fn ask(&mut self, event: Event) {
+        let node = self.rng.random_range(0..self.nodes.len());
+        self.handle(node, event);
+    }
+
+    fn handle(&mut self, node: usize, event: Event) {
+        let now = Millis(self.now);
+        let Some(controller) = &mut self.nodes[node] else {
+            return;
+        };
+        for effect in controller.handle(event, now) {
+            self.carry_out(node, effect);
+        }
+    }
+
+    fn step(&mut self) {
+        let now = Millis(self.now);
+        self.store.pass(now, self.during(&self.outages));
+        let (started, reports) = self.machines.step(now);
+        self.rules.check(&started, &self.machines, now);
+        for out in reports {
+            self.post(self.now + 3, Msg::Report(out));
+        }
+        self.post(self.now + STEP, Msg::Step);
+    }
+
+    fn send_to(&mut self, node: usize, at: u64, event: Event) {
+        let epoch = self.epochs[node];
+        self.post(at, Msg::Node(node, epoch, Box::new(event)));
+    }
+
+    fn index(&self, label: &NodeId) -> Option<usize> {
+        (0..self.nodes.len()).find(|i| Config::label(*i) == label.as_str())
+    }
+
+    fn carry_out(&mut self, node: usize, effect: Effect) {
+        let delay = 2 + self.rng.random_range(0..6);
+        let (now, epoch) = (self.now, self.epochs[node]);
+        match effect {
+            Effect::Store { tag, call, .. } => {
+                let txn = matches!(call, Call::Txn(_));
+                let lost = txn && self.rng.random_bool(self.lost_answers);
+                let late = lost && self.rng.random_bool(0.5);
+                let unanswered = match self.blocked(node, |c| c.from_store) {
+                    Some(cut) => {
+                        if cut.hold && txn {
+                            self.post(cut.until + 1, Msg::Store(node, epoch, tag, call, false));
+                        }
+                        true
+                    }
+                    None => {
+                        let at = now + delay + if late { 4_000 } else { 0 };
+                        self.post(at, Msg::Store(node, epoch, tag, call, !lost));
+                        lost
+                    }
+                };
+                if unanswered {
+                    let answer = Answer::Unknown;
+                    self.send_to(node, now + CALL_LIMIT, Event::Store { tag, answer });
+                }
+            }
+            Effect::Cloud { tag, call } => {
+                let answer = if self.during(&self.cloud_down) {
+                    CloudAnswer::Failed
+                } else {
+                    self.cloud
+                        .call(call, &mut self.machines, Millis(now), &mut self.rng)
+                };
+                self.send_to(node, now + 80, Event::Cloud { tag, answer });
+            }
+            Effect::Peer { to, message } => {
+                let Some(target) = self.index(&to) else {
+                    return;
+                };
+                let cut = |w: &Self, n| w.blocked(n, |c| c.from_peers).is_some();
+                if !cut(self, node) && !cut(self, target) && self.nodes[target].is_some() {
+                    let from = NodeId::from(Config::label(node));
+                    let frame = bitcode::encode(&message);
+                    if let Ok(message) = bitcode::decode::<Message>(&frame) {
+                        self.send_to(target, now + delay, Event::Peer { from, message });
+                    }
+                }
+            }
+            Effect::Direct {
+                host,
+                token,
+                session,
+                orders,
+                ..
+            } => match self.blocked(node, |c| c.from_workers) {
+                Some(cut) => {
+                    if cut.hold {
+                        let host = host.clone();
+                        let msg = Msg::Direct(node, epoch, host, token, session, orders, false);
+                        self.post(cut.until + 1, msg);
+                    }
+                    let answer = None;
+                    self.send_to(node, now + DIRECT_LIMIT, Event::Direct { host, answer });
+                }
+                None => {
+                    let msg = Msg::Direct(node, epoch, host, token, session, orders, true);
+                    self.post(now + delay, msg);
+                }
+            },
+            Effect::Inspect { host, .. } => {
+                let answered = self.blocked(node, |c| c.from_workers).is_none()
+                    && self.machines.reachable(&host, Millis(now));
+                self.send_to(node, now + 50, Event::Inspected { answered });
+            }
+            Effect::Worker { reply, answer } => {
+                if let Some(Owed::Worker(out)) = self.owed.remove(&reply)
+                    && self.blocked(node, |c| c.from_workers).is_none()
+                {
+                    self.post(now + delay, Msg::Answer(out, answer));
+                }
+            }
+            Effect::User { reply, response } => {
+                if let Some(Owed::User(id)) = self.owed.remove(&reply) {
+                    self.told(id, &response);
+                }
+            }
+            Effect::Ready { .. } => {}
+        }
+    }
+
+    fn told(&mut self, id: JobId, response: &Response) {
+        let told = match response {
+            Response::Accepted(_) => Told::State(Stage::Queued),
+            Response::State(state) => state.into(),
+            Response::Unknown => Told::NotFound,
+            Response::Malformed(_) => Told::Refused(400),
+            Response::NeverRuns(_) => Told::Refused(422),
+            Response::Later(_) => Told::Later,
+        };
+        if matches!(response, Response::Accepted(_)) {
+            self.post(self.now + 1_000, Msg::Poll(id.clone()));
+        }
+        let now = Millis(self.now);
+        self.rules.told(&id, &told, &self.machines, now);
+    }
+
+    fn wake_watches(&mut self) {
+        for (id, answer) in self.store.woken() {
+            if let Some((node, epoch, tag)) = self.watches.remove(&id) {
+                let event = Box::new(Event::Store { tag, answer });
+                self.post(self.now + 3, Msg::Node(node, epoch, event));
+            }
+        }
+    }
+
+    fn store_call(&mut self, node: usize, epoch: u64, tag: u64, call: Call, reply: bool) {
+        let now = Millis(self.now);
+        let answer = if self.during(&self.outages) {
+            match call {
+                Call::Follow { .. } => Answer::Unknown,
+                _ => Answer::Refused,
+            }
+        } else {
+            match call {
+                Call::Grant { life_ms } => Answer::Granted(self.store.grant(Millis(life_ms), now)),
+                Call::Renew(permit) if self.store.renew(permit, now) => Answer::Renewed,
+                Call::Renew(_) => Answer::NoLease,
+                Call::End(permit) => {
+                    self.store.end(permit);
+                    Answer::Ended
+                }
+                Call::ReadRevision => Answer::Revision(Revision(self.store.revision)),
+                Call::List { after } => self.store.list(PREFIX, after.as_deref(), PAGE),
+                Call::Follow { from, wait_ms } => {
+                    let id = self.store.watch(PREFIX, from, Millis(wait_ms), now);
+                    self.watches.insert(id, (node, epoch, tag));
+                    return;
+                }
+                Call::Txn(txn) => {
+                    if let Some(why) = self.store.malformed(&txn) {
+                        self.rules
+                            .violations
+                            .insert(format!("malformed: {why}: {txn:?}"));
+                    }
+                    self.store.apply(txn)
+                }
+            }
+        };
+        if reply {
+            let event = Box::new(Event::Store { tag, answer });
+            self.post(self.now + 3, Msg::Node(node, epoch, event));
+        }
+    }
+
+    fn report_arrives(&mut self, out: Outgoing) {
+        let node = out.node;
+        let down = self.nodes[node].is_none() || self.blocked(node, |c| c.from_workers).is_some();
+        if down || !self.machines.reachable(&out.host, Millis(self.now)) {
+            return;
+        }
+        let report = out.report.clone();
+        let reply = self.owe(Owed::Worker(out));
+        self.handle(node, Event::Report { reply, report });
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn direct(
+        &mut self,
+        node: usize,
+        epoch: u64,
+        host: HostId,
+        token: Token,
+        session: Session,
+        orders: Vec<Order>,
+        reply: bool,
+    ) {
+        let now = Millis(self.now);
+        if !self.machines.reachable(&host, now) {
+            let event = Box::new(Event::Direct { host, answer: None });
+            self.post(self.now + DIRECT_LIMIT, Msg::Node(node, epoch, event));
+            return;
+        }
+        self.machines.direct(&host, token, session, orders, now);
+        if reply {
+            let report = self.machines.report(&host);
+            let answer = Some(DirectAnswer { report });
+            let event = Box::new(Event::Direct { host, answer });
+            self.post(self.now + 3, Msg::Node(node, epoch, event));
+        }
+    }
+
+    /// Jobs that were submitted and are neither done, cancelled nor services.
+    pub fn unfinished(&self) -> Vec<JobId> {
+        let service = |id: &JobId| {
+            let job = self.machines.jobs.get(id);
+            job.is_some_and(|job| job.spec.shape == Shape::Service)
+        };
+        let ids = self.jobs.iter().map(JobPlan::id);
+        let mut left: Vec<JobId> = ids.filter(|id| !service(id) && !self.over(id)).collect();
+        left.sort();
+        left
+    }
+}
--- /dev/null
+++ b/crates/region/src/state.rs
@@ -0,0 +1,321 @@
+//! The state service: keys with versions, leases, watches, transactions and limits.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use jaspertiller::store::{Answer, Change, Entry, Txn, Update};
+use jaspertiller::types::{Millis, Permit, Revision};
+use serde_json::value::RawValue;
+
+use crate::config::StateLimits;
+
+/// Watches that ask for older changes are refused.
+const KEPT_CHANGES: usize = 10_000;
+
+struct Value {
+    data: String,
+    version: u64,
+    permit: Option<u64>,
+}
+
+struct Watch {
+    id: u64,
+    starts: String,
+    from: u64,
+    until: Millis,
+}
+
+/// What is left of a limit a second, with bursts of one second's worth.
+struct Bucket {
+    rate: f64,
+    left: f64,
+    at: Millis,
+}
+
+impl Bucket {
+    fn new(rate: f64) -> Self {
+        let (left, at) = (rate, Millis(0));
+        Self { rate, left, at }
+    }
+
+    fn take(&mut self, amount: f64, now: Millis) -> bool {
+        let grown = self.left + self.rate * now.since(self.at).secs();
+        self.left = grown.min(self.rate);
+        self.at = now;
+        let enough = self.left >= amount;
+        if enough {
+            self.left -= amount;
+        }
+        enough
+    }
+}
+
+pub struct StateService {
+    pub revision: u64,
+    keys: BTreeMap<String, Value>,
+    /// Newest last: key, what was put, and the revision.
+    changes: VecDeque<(String, Option<String>, u64)>,
+    /// When each ends, and how long it lasts.
+    leases: HashMap<u64, (Millis, Millis)>,
+    watches: Vec<Watch>,
+    woken: Vec<(u64, Answer)>,
+    next_watch: u64,
+    limits: StateLimits,
+    requests: Bucket,
+    writes: Bucket,
+    /// Puts and drops that were carried out.
+    pub written: u64,
+    /// A guard that a test takes out: conditions are ignored.
+    pub ignore_conditions: bool,
+}
+
+fn raw(data: &str) -> Box<RawValue> {
+    RawValue::from_string(data.to_string()).unwrap_or_else(|_| RawValue::NULL.to_owned())
+}
+
+impl StateService {
+    pub fn new(limits: StateLimits) -> Self {
+        Self {
+            revision: 1,
+            keys: BTreeMap::new(),
+            changes: VecDeque::new(),
+            leases: HashMap::new(),
+            watches: Vec::new(),
+            woken: Vec::new(),
+            next_watch: 0,
+            limits,
+            requests: Bucket::new(limits.rps),
+            writes: Bucket::new(limits.write_rps),
+            written: 0,
+            ignore_conditions: false,
+        }
+    }
+
+    /// Whether the limits allow a request that makes so many changes.
+    pub fn allows(&mut self, changes: usize, now: Millis) -> bool {
+        self.requests.take(1.0, now) && self.writes.take(changes as f64, now)
+    }
+
+    pub fn get(&self, key: &str) -> Option<(&str, Revision, Option<Permit>)> {
+        let value = self.keys.get(key)?;
+        let permit = value.permit.map(Permit);
+        Some((&value.data, Revision(value.version), permit))
+    }
+
+    pub fn list(&self, starts: &str, after: Option<&str>, most: usize) -> Answer {
+        let mut left = self
+            .keys
+            .range(starts.to_string()..)
+            .take_while(|(key, _)| key.starts_with(starts))
+            .filter(|(key, _)| after.is_none_or(|after| key.as_str() > after));
+        let entries = left
+            .by_ref()
+            .take(most)
+            .map(|(key, value)| Entry {
+                key: key.clone(),
+                data: raw(&value.data),
+                version: Revision(value.version),
+            })
+            .collect();
+        Answer::Page {
+            entries,
+            more: left.next().is_some(),
+            revision: Revision(self.revision),
+        }
+    }
+
+    pub fn grant(&mut self, life: Millis, now: Millis) -> Permit {
+        self.revision += 1;
+        self.leases.insert(self.revision, (now + life, life));
+        Permit(self.revision)
+    }
+
+    pub fn renew(&mut self, permit: Permit, now: Millis) -> bool {
+        let lease = self.leases.get_mut(&permit.0);
+        lease.is_some_and(|(until, life)| {
+            *until = now + *life;
+            true
+        })
+    }
+
+    pub fn end(&mut self, permit: Permit) {
+        if self.leases.remove(&permit.0).is_none() {
+            return;
+        }
+        let held = |value: &Value| value.permit == Some(permit.0);
+        let keys = self.keys.iter().filter(|(_, value)| held(value));
+        let keys: Vec<String> = keys.map(|(key, _)| key.clone()).collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+            for key in keys {
+                self.keys.remove(&key);
+                self.note(key, None);
+            }
+            self.wake();
+        }
+    }
+
+    /// Time passes: leases end, watches give up. In an outage every lease gets its full time again.
+    pub fn pass(&mut self, now: Millis, outage: bool) {
+        if outage {
+            for (until, life) in self.leases.values_mut() {
+                *until = now + *life;
+            }
+            return;
+        }
+        let over = self.leases.iter().filter(|(_, (until, _))| *until < now);
+        let mut over: Vec<u64> = over.map(|(permit, _)| *permit).collect();
+        over.sort_unstable();
+        for permit in over {
+            self.end(Permit(permit));
+        }
+        let (due, open) = std::mem::take(&mut self.watches)
+            .into_iter()
+            .partition(|watch| watch.until <= now);
+        self.watches = open;
+        for watch in due {
+            self.woken.push((watch.id, self.news(&watch)));
+        }
+    }
+
+    fn note(&mut self, key: String, data: Option<String>) {
+        self.written += 1;
+        self.changes.push_back((key, data, self.revision));
+        if self.changes.len() > KEPT_CHANGES {
+            self.changes.pop_front();
+        }
+    }
+
+    fn wake(&mut self) {
+        for watch in std::mem::take(&mut self.watches) {
+            if self.changed(&watch.starts, watch.from) {
+                self.woken.push((watch.id, self.news(&watch)));
+            } else {
+                self.watches.push(watch);
+            }
+        }
+    }
+
+    fn since(&self, from: u64) -> impl Iterator<Item = &(String, Option<String>, u64)> {
+        let start = self
+            .changes
+            .partition_point(|(_, _, revision)| *revision <= from);
+        self.changes.range(start..)
+    }
+
+    fn changed(&self, starts: &str, from: u64) -> bool {
+        self.since(from).any(|(key, _, _)| key.starts_with(starts))
+    }
+
+    fn news(&self, watch: &Watch) -> Answer {
+        let updates = self
+            .since(watch.from)
+            .filter(|(key, _, _)| key.starts_with(&watch.starts))
+            .map(|(key, data, revision)| match data {
+                Some(data) => Update::Put(Entry {
+                    key: key.clone(),
+                    data: raw(data),
+                    version: Revision(*revision),
+                }),
+                None => Update::Dropped {
+                    key: key.clone(),
+                    version: Revision(*revision),
+                },
+            })
+            .collect();
+        Answer::Updates {
+            updates,
+            revision: Revision(self.revision),
+        }
+    }
+
+    /// Opens a watch; its answer comes with `woken`.
+    pub fn watch(&mut self, starts: &str, from: Revision, wait: Millis, now: Millis) -> u64 {
+        self.next_watch += 1;
+        let watch = Watch {
+            id: self.next_watch,
+            starts: starts.to_string(),
+            from: from.0,
+            until: now + wait,
+        };
+        let kept = self.changes.len() >= KEPT_CHANGES;
+        if kept
+            && self
+                .changes
+                .front()
+                .is_some_and(|(_, _, r)| *r > from.0 + 1)
+        {
+            self.woken.push((watch.id, Answer::TooOld));
+        } else if self.changed(starts, from.0) {
+            self.woken.push((watch.id, self.news(&watch)));
+        } else {
+            self.watches.push(watch);
+        }
+        self.next_watch
+    }
+
+    /// Watches that have their answer now.
+    pub fn woken(&mut self) -> Vec<(u64, Answer)> {
+        std::mem::take(&mut self.woken)
+    }
+
+    /// Why a transaction is malformed, if it is.
+    pub fn malformed(&self, txn: &Txn) -> Option<String> {
+        let limits = &self.limits;
+        if txn.changes.len() > limits.txn_ops || txn.conditions.len() > limits.txn_ops * 4 {
+            return Some("too many changes or conditions".into());
+        }
+        let too_large = |change: &&Change| match change {
+            Change::Put { data, .. } => data.len() as f64 > limits.value_kb * 1024.0,
+            Change::Drop { .. } => false,
+        };
+        if let Some(Change::Put { key, .. }) = txn.changes.iter().find(too_large) {
+            return Some(format!("the value of {key} is too large"));
+        }
+        let size = |change: &Change| match change {
+            Change::Put { key, data, .. } => key.len() + data.len(),
+            Change::Drop { key } => key.len(),
+        };
+        (txn.changes.iter().map(size).sum::<usize>() > 64 << 10).then(|| "too large".into())
+    }
+
+    pub fn apply(&mut self, txn: Txn) -> Answer {
+        let version = |key: &String| self.keys.get(key).map_or(0, |value| value.version);
+        let holds = |(key, stamp): &(String, Revision)| version(key) == stamp.0;
+        if !txn.conditions.iter().all(holds) && !self.ignore_conditions {
+            return Answer::Conflict(Revision(self.revision));
+        }
+        let leased = |change: &Change| match change {
+            Change::Put {
+                permit: Some(permit),
+                ..
+            } => self.leases.contains_key(&permit.0),
+            _ => true,
+        };
+        if !txn.changes.iter().all(leased) {
+            return Answer::NoLease;
+        }
+        if txn.changes.is_empty() {
+            return Answer::Committed(Revision(self.revision));
+        }
+        self.revision += 1;
+        for change in txn.changes {
+            match change {
+                Change::Put { key, data, permit } => {
+                    self.note(key.clone(), Some(data.clone()));
+                    let value = Value {
+                        data,
+                        version: self.revision,
+                        permit: permit.map(|p| p.0),
+                    };
+                    self.keys.insert(key, value);
+                }
+                Change::Drop { key } => {
+                    self.keys.remove(&key);
+                    self.note(key, None);
+                }
+            }
+        }
+        self.wake();
+        Answer::Committed(Revision(self.revision))
+    }
+}
--- a/tests/cluster/main.rs
+++ b/crates/region/tests/cluster/main.rs
@@ -1,26 +1,44 @@
 //! Whole controllers in a simulated world: crashes, cuts, outages, late messages. The world
 //! checks the rules; each test also shows that the work gets done in the end.
 
-mod world;
+use tiller_region::config::Config;
+use tiller_region::sim::{Cut, JobPlan, World, job};
 
-use world::{Broken, Cut, JobPlan, NODES, World, job};
+const NODES: usize = 5;
+
+/// Which guard of the region is taken out, to see that its checks can fail.
+#[derive(Clone, Copy, Default)]
+struct Broken {
+    /// The state service ignores conditions.
+    conditions: bool,
+    /// Workers keep their tasks when their lease is over.
+    leases: bool,
+}
 
 fn mixed_jobs() -> Vec<JobPlan> {
     (0..14)
         .map(|i| match i % 7 {
-            0 => job(i, "small", "sweep", 5, 6_000),
-            1 => job(i, "large", "gang", 2, 5_000),
-            2 => job(i, "small", "standing", 2, 0),
-            4 => job(i, "small", "gang", 3, 4_000),
+            0 => job(i, "small", "sweep", 5, 1.0, 6_000),
+            1 => job(i, "large", "gang", 2, 1.0, 5_000),
+            2 => job(i, "small", "standing", 2, 1.0, 0),
+            4 => job(i, "small", "gang", 3, 1.0, 4_000),
             // Whole machines, more than one holder's block has at first.
-            3 if i < 7 => job(i, "large", "sweep", 12, 3_000),
-            3 => job(i, "whole", "gang", 4, 6_000),
-            5 => job(i, "large", "sweep", 1, 20_000),
-            _ => job(i, "small", "sweep", 4, 3_000),
+            3 if i < 7 => job(i, "large", "sweep", 12, 1.0, 3_000),
+            3 => job(i, "large", "gang", 4, 4.0, 6_000),
+            5 => job(i, "large", "sweep", 1, 1.0, 20_000),
+            _ => job(i, "small", "sweep", 4, 1.0, 3_000),
         })
         .collect()
 }
 
+fn world(seed: u64) -> World {
+    let config = Config {
+        controllers: NODES,
+        ..Config::default()
+    };
+    World::new(config, seed, mixed_jobs())
+}
+
 struct Day {
     name: &'static str,
     /// What goes wrong.
@@ -120,12 +138,12 @@
     },
     Day {
         name: "fetches take longer than a gang's tasks wait for each other",
-        plan: |w| w.slow_fetches = true,
+        plan: |w| w.machines.fetch = Some(2_000..25_000),
     },
     Day {
         name: "slow fetches, lost answers, all controllers crash one after the other",
         plan: |w| {
-            w.slow_fetches = true;
+            w.machines.fetch = Some(2_000..25_000);
             w.lost_answers = 0.05;
             (0..NODES).for_each(|n| w.crash(n, 20_000 + 11_000 * n as u64, 5_000));
         },
@@ -141,8 +159,9 @@
 ];
 
 fn play(seed: u64, day: &Day, broken: Broken) -> World {
-    let mut world = World::new(seed, mixed_jobs());
-    world.broken = broken;
+    let mut world = world(seed);
+    world.store.ignore_conditions = broken.conditions;
+    world.machines.keep_past_lease = broken.leases;
     for (index, at) in [(2, 22_000), (3, 17_000), (9, 33_000), (0, 26_000)] {
         world.abort_at(at + (seed % 7) * 500, index);
     }
@@ -158,12 +177,20 @@
             let world = play(seed, day, Broken::default());
             let name = format!("{} (seed {seed})", day.name);
             assert!(
-                world.violations.is_empty(),
+                world.rules.violations.is_empty(),
                 "{name}: {:?}",
-                world.violations
+                world.rules.violations
+            );
+            assert!(
+                world.unfinished().is_empty(),
+                "{name}: {:?}",
+                world.unfinished()
+            );
+            assert!(
+                world.rules.starts > 20,
+                "{name}: only {} starts",
+                world.rules.starts
             );
-            assert_eq!(world.unfinished(), Vec::<String>::new(), "{name}");
-            assert!(world.starts > 20, "{name}: only {} starts", world.starts);
         }
     }
 }
@@ -177,7 +204,7 @@
     for day in days {
         for seed in 1..=6 {
             let world = play(seed, day, Broken::default());
-            assert_eq!(world.deleted_at_work, 0, "{} (seed {seed})", day.name);
+            assert_eq!(world.cloud.deleted_at_work, 0, "{} (seed {seed})", day.name);
         }
     }
 }
@@ -205,7 +232,7 @@
         let found = DAYS
             .iter()
             .flat_map(|day| (1..=8).map(move |seed| (day, seed)))
-            .any(|(day, seed)| !play(seed, day, broken).violations.is_empty());
+            .any(|(day, seed)| !play(seed, day, broken).rules.violations.is_empty());
         assert!(found, "nothing broke without {name}");
     }
 }
@@ -214,9 +241,9 @@
 fn the_same_seed_gives_the_same_day() {
     let shown = |_| {
         let world = play(5, &DAYS[3], Broken::default());
-        let mut done: Vec<_> = world.done.iter().cloned().collect();
+        let mut done: Vec<_> = world.rules.done.iter().cloned().collect();
         done.sort();
-        (world.starts, done)
+        (world.rules.starts, done)
     };
     assert_eq!(shown(0), shown(1));
 }
@@ -224,10 +251,14 @@
 /// Controllers that start while the cloud is away know the machine types from the state service.
 #[test]
 fn jobs_are_taken_after_a_restart_without_the_cloud() {
-    let mut world = World::new(1, mixed_jobs());
+    let mut world = world(1);
     world.cloud_down.push((8_000, 200_000));
     (0..NODES).for_each(|n| world.crash(n, 9_000, 2_000));
     world.run_until(60_000);
-    assert_eq!(world.accepted.len(), world.jobs.len());
-    assert!(world.violations.is_empty(), "{:?}", world.violations);
+    assert_eq!(world.rules.accepted.len(), world.jobs.len());
+    assert!(
+        world.rules.violations.is_empty(),
+        "{:?}",
+        world.rules.violations
+    );
 }
