--- /dev/null
+++ b/crates/quota/tests/properties.rs
@@ -0,0 +1,298 @@
+//! What must hold of any tree and any demand.
+
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use tiller_quota::{Amount, NodeIx, NodeSpec, Outer, Shares, Tree, TreeSpec, Wanted};
+
+const NEAR: f64 = 1e-6;
+
+/// A node as drawn: how it picks its parent, its guarantee, slack to its limit, and weight.
+type Drawn = (usize, f64, Option<f64>, f64);
+
+fn tree(drawn: &[Drawn], two: bool) -> Arc<Tree> {
+    let mut nodes: Vec<NodeSpec> = Vec::new();
+    for (index, (pick, guarantee, _, weight)) in drawn.iter().enumerate() {
+        let parent = (index > 0).then(|| format!("n{}", pick % index));
+        nodes.push(NodeSpec {
+            name: format!("n{index}"),
+            parent,
+            team: None,
+            guarantee: Amount::new(if two { guarantee * 3.0 } else { 0.0 }, *guarantee),
+            limit: Amount::ZERO,
+            weight: *weight,
+        });
+    }
+    // Leaves name teams; an inner node holds its children's guarantees and some more.
+    for index in (0..nodes.len()).rev() {
+        let name = nodes[index].name.clone();
+        let children = nodes.iter().filter(|n| n.parent.as_ref() == Some(&name));
+        let sums: Vec<(Amount, Amount)> = children.map(|n| (n.guarantee, n.limit)).collect();
+        if sums.is_empty() {
+            nodes[index].team = Some(format!("t{index}"));
+        }
+        let sum = sums.iter().fold(Amount::ZERO, |sum, (g, _)| sum.plus(*g));
+        nodes[index].guarantee = nodes[index].guarantee.plus(sum);
+        if let Some(slack) = drawn[index].2 {
+            let least = sums.iter().map(|(_, limit)| limit.gpus).fold(0.0, f64::max);
+            let gpus = (nodes[index].guarantee.gpus + slack).max(least);
+            nodes[index].limit = Amount::new(0.0, gpus);
+        }
+    }
+    // A child's limit may not be above its parent's, so those without one of their own inherit.
+    let spec = TreeSpec {
+        revision: 1,
+        hold_s: 0.0,
+        enabled: true,
+        nodes,
+    };
+    let (tree, _) = spec.build("drawn", &[]).unwrap();
+    Arc::new(tree)
+}
+
+fn leaves(tree: &Tree) -> Vec<NodeIx> {
+    let leaf = |ix: &NodeIx| tree.node(*ix).team.is_some();
+    tree.all().filter(leaf).collect()
+}
+
+fn amount(gpus: f64, two: bool) -> Amount {
+    Amount::new(if two { gpus * 2.0 } else { 0.0 }, gpus)
+}
+
+prop_compose! {
+    fn node()(pick in 0usize..1000, guarantee in prop_oneof![Just(0.0), 0.0..50.0],
+        slack in proptest::option::of(0.0..50.0), weight in 0.1..10.0) -> Drawn {
+        (pick, guarantee, slack, weight)
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    #[test]
+    fn shares_are_sound(drawn in proptest::collection::vec(node(), 1..40),
+        wants in proptest::collection::vec(prop_oneof![Just(0.0), 0.0..200.0], 40), two: bool) {
+        let tree = tree(&drawn, two);
+        let mut shares = Shares::new(tree.clone());
+        for (leaf, want) in leaves(&tree).into_iter().zip(&wants) {
+            shares.set_demand(leaf, amount(*want, two), 0);
+        }
+        shares.refresh();
+        for ix in tree.all() {
+            let (node, mine) = (tree.node(ix), shares.entitled(ix));
+            // Nobody is entitled to more than its limit, or than it wants.
+            for ((got, limit), demand) in mine.each().iter().zip(node.limit.each())
+                .zip(shares.demand(ix).each()) {
+                prop_assert!(limit == 0.0 || *got <= limit + NEAR, "{} over its limit", node.name);
+                prop_assert!(*got <= demand + NEAR, "{} has more than it wants", node.name);
+            }
+            // The children of a node never have more than the node, and what is wanted inside it
+            // is used up before anything is left, where one amount is divided.
+            let sum = node.children.iter().fold(Amount::ZERO, |s, c| s.plus(shares.entitled(*c)));
+            let governed = tree.node(tree.root(ix)).guarantee;
+            if !node.children.is_empty() && governed.gpus > 0.0 {
+                prop_assert!(sum.gpus <= mine.gpus + NEAR, "{}: {sum:?} of {mine:?}", node.name);
+                if !two {
+                    let want: f64 = node.children.iter().map(|c| shares.demand(*c).gpus).sum();
+                    let short = mine.gpus.min(want) - sum.gpus;
+                    prop_assert!(short <= NEAR, "{} leaves {short}", node.name);
+                }
+            }
+            // What is guaranteed is met before anything is lent.
+            if !two && governed.gpus > 0.0 {
+                let due = node.guarantee.gpus.min(shares.demand(ix).gpus);
+                prop_assert!(mine.gpus + NEAR >= due, "{} has {mine:?} of {due}", node.name);
+            }
+        }
+    }
+
+    /// The same demands give the same shares, whatever was there before and in whatever order they
+    /// came, so that two controllers agree.
+    #[test]
+    fn the_same_input_gives_the_same_answer(
+        drawn in proptest::collection::vec(node(), 1..30),
+        before in proptest::collection::vec(0.0..200.0, 30),
+        wants in proptest::collection::vec(prop_oneof![Just(0.0), 0.0..200.0], 30)) {
+        let tree = tree(&drawn, false);
+        let leaves = leaves(&tree);
+        let (mut one, mut other) = (Shares::new(tree.clone()), Shares::new(tree.clone()));
+        for (leaf, want) in leaves.iter().zip(&before) {
+            one.set_demand(*leaf, amount(*want, false), 0);
+        }
+        one.refresh();
+        for (leaf, want) in leaves.iter().zip(&wants) {
+            // With no hold time less demand counts at the second look.
+            one.set_demand(*leaf, amount(*want, false), 1);
+            one.set_demand(*leaf, amount(*want, false), 2);
+        }
+        for (leaf, want) in leaves.iter().zip(&wants).rev() {
+            other.set_demand(*leaf, amount(*want, false), 9);
+        }
+        one.refresh();
+        other.refresh();
+        for ix in tree.all() {
+            let (a, b) = (one.entitled(ix), other.entitled(ix));
+            prop_assert!((a.gpus - b.gpus).abs() < NEAR, "{}: {a:?} {b:?}", tree.node(ix).name);
+        }
+    }
+
+    /// However many reclaim, each stop brings the whole nearer to what is due: it comes to an end,
+    /// and nobody has anything stopped that it then reclaims.
+    #[test]
+    fn reclaiming_comes_to_an_end(drawn in proptest::collection::vec(node(), 2..25),
+        sizes in proptest::collection::vec(1u8..5, 25),
+        wants in proptest::collection::vec(0u8..60, 25),
+        uses in proptest::collection::vec(0u8..60, 25)) {
+        let tree = tree(&drawn, false);
+        let leaves = leaves(&tree);
+        let mut shares = Shares::new(tree.clone());
+        let mut used: Vec<f64> = vec![0.0; tree.nodes.len()];
+        for ((leaf, want), (using, size)) in leaves.iter().zip(&wants).zip(uses.iter().zip(&sizes)) {
+            let (want, size) = (f64::from(*want), f64::from(*size));
+            let have = (f64::from(*using).min(want) / size).floor() * size;
+            shares.set_demand(*leaf, amount(want, false), 0);
+            tree.path(*leaf).for_each(|ix| used[ix.0 as usize] += have);
+        }
+        shares.refresh();
+        let mut stops = 0;
+        loop {
+            let one = |i: usize| Amount::new(0.0, f64::from(sizes[i]));
+            let at = |used: &[f64], ix: NodeIx| Amount::new(0.0, used[ix.0 as usize]);
+            let pair = leaves.iter().enumerate().flat_map(|by| leaves.iter().enumerate()
+                .map(move |from| (by, from))).find(|((b, by), (f, from))| {
+                let task = one(*b);
+                let unmet = shares.demand(**by).gpus - used[by.0 as usize];
+                by != from && unmet >= task.gpus
+                    && shares.within(**by, at(&used, **by), Wanted { total: task, task })
+                    && shares.may_reclaim(**from, one(*f), **by, Wanted { total: task, task },
+                        |ix| at(&used, ix))
+            });
+            let Some(((b, by), (f, from))) = pair else { break };
+            let (gain, loss) = (f64::from(sizes[b]), f64::from(sizes[f]));
+            // As many as it takes for one task, and no more than may be taken.
+            tree.path(*from).for_each(|ix| used[ix.0 as usize] -= loss);
+            if loss >= gain {
+                tree.path(*by).for_each(|ix| used[ix.0 as usize] += gain);
+            }
+            stops += 1;
+            prop_assert!(stops < 3_000, "shares swing");
+        }
+    }
+}
+
+/// Only what the platform has counts; what it has not is lent, and said.
+#[test]
+fn trees_and_platforms_that_differ() {
+    let text = "[tree]\nrevision=1\n[node a]\ngpus=8\n[node x]\nparent=a\nteam=known\ngpus=4\n\
+        [node y]\nparent=a\nteam=ghost\ngpus=4\n";
+    let outer = |team: &str| Outer {
+        team: team.into(),
+        guarantee: Amount::new(0.0, 2.0),
+        limit: Amount::new(0.0, 6.0),
+    };
+    let spec = TreeSpec::parse("f", text).unwrap();
+    let (tree, notes) = spec.build("f", &[outer("known"), outer("alone")]).unwrap();
+    let said: Vec<String> = notes.iter().map(ToString::to_string).collect();
+    assert_eq!(
+        said,
+        [
+            "node y: the platform has no team ghost, so its share is lent",
+            "team alone is not in the tree and keeps its flat quota"
+        ]
+    );
+    let known = tree.leaf("known").unwrap();
+    assert_eq!(tree.node(known).limit.gpus, 6.0);
+    assert_eq!(tree.leaf("alone"), None);
+    let mut shares = Shares::new(Arc::new(tree));
+    shares.set_demand(known, Amount::new(0.0, 99.0), 0);
+    shares.refresh();
+    assert_eq!(shares.entitled(known).gpus, 6.0);
+    // The platform guarantees more now than the tree does: the tree that is in force gives way.
+    let more = Outer {
+        guarantee: Amount::new(0.0, 9.0),
+        limit: Amount::new(0.0, 10.0),
+        ..outer("known")
+    };
+    assert!(spec.build("f", std::slice::from_ref(&more)).is_err());
+    let tree = spec.adopt("f", std::slice::from_ref(&more)).unwrap();
+    let known = tree.leaf("known").unwrap();
+    assert_eq!(tree.node(known).guarantee.gpus, 9.0);
+    assert_eq!(tree.node(tree.root(known)).guarantee.gpus, 13.0);
+}
+
+#[test]
+fn a_tree_may_be_switched_off() {
+    let spec = TreeSpec::parse("f", "[tree]\nrevision = 9\nenabled = no\n").unwrap();
+    assert!(!spec.enabled);
+    let error = TreeSpec::parse("f", "[tree]\nrevision = 9\nenabled = perhaps\n").unwrap_err();
+    assert_eq!(error.field, "[tree] enabled");
+}
+
+#[test]
+fn a_tree_that_makes_no_sense_is_refused_by_name() {
+    let outer = Outer {
+        team: "t".into(),
+        guarantee: Amount::new(0.0, 4.0),
+        limit: Amount::new(0.0, 8.0),
+    };
+    let head = "[tree]\nrevision = 3\n";
+    let cases = [
+        ("[node a]\nteam=t\n", "[tree] revision"),
+        ("[tree]\nrevision = -1\n", "[tree] revision"),
+        ("[tree]\nrevision = 1\nhold_s = NaN\n", "[tree] hold_s"),
+        ("[tree]\nrevision = 1\n", "[node ...]"),
+        ("[tree]\nrevision = 1\n[tree]\nrevision = 1\n", "[tree]"),
+        ("H[knot a]\n", "[knot a]"),
+        ("H[node a]\nteam=t\nwheels=1\n", "[node a] wheels"),
+        ("H[node a]\nteam=t\ngpus=-1\n", "[node a] gpus"),
+        ("H[node a]\nteam=t\ngpus=NaN\n", "[node a] gpus"),
+        ("H[node a]\nteam=t\ngpus=1e300\n", "[node a] gpus"),
+        ("H[node a]\nteam=t\nweight=0\n", "[node a] weight"),
+        ("H[node a]\nteam=t\ngpus=4\ngpus=5\n", "[node a] gpus"),
+        ("H[node a]\nteam=t\n[node a]\nteam=u\n", "[node a]"),
+        ("H[node a]\nteam=t\n[node b]\nteam=t\n", "[node b] team"),
+        ("H[node a]\n", "[node a] team"),
+        ("H[node a]\nparent=b\nteam=t\n", "[node a] parent"),
+        ("H[node a]\nparent=a\nteam=t\n", "[node a] parent"),
+        (
+            "H[node a]\nparent=b\n[node b]\nparent=c\n[node c]\nparent=b\n",
+            "[node b] parent",
+        ),
+        (
+            "H[node a]\nteam=t\n[node b]\nparent=a\nteam=u\n",
+            "[node b] parent",
+        ),
+        // A child that asks for more than its parent holds.
+        (
+            "H[node a]\ngpus=6\n[node b]\nparent=a\nteam=u\ngpus=7\n",
+            "[node a] gpus",
+        ),
+        (
+            "H[node a]\ngpus=6\n[node b]\nparent=a\nteam=t\n[node c]\nparent=a\nteam=u\ngpus=3\n",
+            "[node a] gpus",
+        ),
+        (
+            "H[node a]\ngpus_max=6\n[node b]\nparent=a\nteam=u\ngpus_max=7\n",
+            "[node b] gpus_max",
+        ),
+        (
+            "H[node a]\nteam=u\ngpus=6\ngpus_max=5\n",
+            "[node a] gpus_max",
+        ),
+        // Against the platform's own.
+        ("H[node a]\nteam=t\ngpus=3\n", "[node a] gpus"),
+        ("H[node a]\nteam=t\ngpus=9\n", "[node a] gpus"),
+        ("H[node a]\nteam=t\ngpus_max=3\n", "[node a] gpus_max"),
+    ];
+    for (text, field) in cases {
+        let text = text.replace('H', head);
+        let spec = TreeSpec::parse("f.ini", &text);
+        let built = spec.and_then(|spec| spec.build("f.ini", std::slice::from_ref(&outer)));
+        let error = built.unwrap_err().to_string();
+        assert!(
+            error.starts_with(&format!("f.ini: {field}: ")),
+            "{text}: {error}"
+        );
+    }
+}
--- a/src/controller/committing.rs
+++ b/src/controller/committing.rs
@@ -81,7 +81,7 @@
             let used = self.jobs.usage(&team.name).times(1.0 / NEAR_LIMIT);
             !quota::within(used, team)
         };
-        let waited_for = last || job.whole_gang() || self.limited(job).is_some_and(near);
+        let waited_for = last || job.whole_gang() || self.limits(job).iter().any(near);
         let turn = if ends && !waited_for {
             self.now + GATHER
         } else if job.spec.rank >= Rank::Urgent {
@@ -211,6 +211,9 @@
         {
             return self.settle(id);
         }
+        if placing {
+            self.require_tree(&mut txn);
+        }
         for page in pages.keys() {
             txn.require(page_key(id, *page), job.page_version(*page));
         }
--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -17,6 +17,8 @@
 use crate::workers::{Machine, block_of};
 
 const EVERY: Millis = Millis(1_000);
+/// Machines are planned for this many tasks of a job at the most.
+const MOST_NEEDED: u32 = 2_000;
 const LIST_EVERY: Millis = Millis(2_500);
 const FLAVORS_EVERY: Millis = Millis(60_000);
 /// After this long a new holder has asked its machines, and their workers, which give a silent
@@ -337,21 +339,19 @@
                 // Its room is being made.
                 continue;
             }
-            let Some(team) = self.settings.team(&job.spec.team) else {
-                continue;
-            };
-            let used = budget
-                .entry(team.name.clone())
-                .or_insert_with(|| self.jobs.usage(&team.name));
-            let mut count = 0;
-            while count < job.waiting()
-                && crate::quota::within(used.plus(job.spec.room), team)
-                && count < 2_000
-            {
-                *used = used.plus(job.spec.room);
-                count += 1;
-            }
             let spec = &job.spec;
+            let mut count = job.waiting().min(MOST_NEEDED);
+            for team in self.limits(job) {
+                let used = budget
+                    .entry(&team.name)
+                    .or_insert_with(|| self.jobs.usage(&team.name));
+                count = count.min(crate::quota::left(*used, team).holds(spec.room));
+            }
+            for team in self.limits(job) {
+                if let Some(used) = budget.get_mut(&team.name) {
+                    *used = used.plus(spec.room.times(f64::from(count)));
+                }
+            }
             needs.push(Need {
                 spec,
                 count,
--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -322,6 +322,8 @@
         self.leases.blocks.clear();
         self.leases.leader = None;
         self.shares = quota::Shares::default();
+        self.nested.start_over();
+        self.jobs.regroup(self.nested.groups());
         self.handed.clear();
         self.stops.clear();
         let operator = &self.settings.operator;
@@ -342,6 +344,9 @@
             }
             return;
         }
+        if key.starts_with(quota::nested::HEAD) {
+            return self.feed_tree(key, data, version);
+        }
         if key == FLAVORS {
             self.kept_flavors = data
                 .and_then(|d| serde_json::from_str(d).ok())
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -5,6 +5,7 @@
 mod committing;
 mod fleet_keeping;
 mod membership;
+mod nested;
 mod placing;
 mod reports;
 mod sharing;
@@ -24,6 +25,7 @@
 use crate::lease::Leases;
 use crate::peers::Message;
 use crate::queue::Queue;
+use crate::quota::nested::{Nested, Standing};
 use crate::quota::{SHARES, Shares};
 use crate::settings::Settings;
 use crate::store::{Answer, Call, Class, Txn};
@@ -161,6 +163,8 @@
     Dropped,
     /// New shares of the teams' limits.
     Deal,
+    /// The tree of quotas, page by page.
+    Tree,
     /// Makes sure that a transaction of unknown fate is not applied from now on.
     Void {
         jobs: Vec<JobId>,
@@ -334,6 +338,11 @@
 
     jobs: Jobs,
     shares: Shares,
+    nested: Nested,
+    tree_offered: Millis,
+    tree_standing: Standing,
+    writing_tree: bool,
+    excess_looked: Millis,
     /// Transactions under way that write shares.
     dealing: u32,
     dealt: Millis,
@@ -417,6 +426,15 @@
             led_since: Millis(0),
             jobs: Jobs::default(),
             shares: Shares::default(),
+            nested: Nested::new(
+                &settings.deployment.teams,
+                settings.tree.as_ref(),
+                settings.deployment.state.value_kb,
+            ),
+            tree_offered: Millis(0),
+            tree_standing: Standing::None,
+            writing_tree: false,
+            excess_looked: Millis(0),
             dealing: 0,
             dealt: Millis(0),
             voided: Millis(0),
@@ -487,6 +505,7 @@
         self.drop_leftovers();
         self.void_unknown();
         self.keep_shares();
+        self.keep_tree();
         self.notice_silence();
         self.keep_peers();
         self.keep_fleet();
@@ -554,6 +573,7 @@
             Purpose::Clear { job } => self.on_cleared(job),
             Purpose::Dropped => self.dropping = false,
             Purpose::Deal => {}
+            Purpose::Tree => self.on_tree(&answer),
             Purpose::Void { jobs, block } => self.on_void(jobs, block, answer),
             Purpose::Note => {}
         }
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -6,6 +6,7 @@
 
 use rustc_hash::FxBuildHasher;
 
+use super::nested::Reclaim;
 use super::{Controller, Effect, Pool};
 use crate::cycle::{self, Asking, Candidate};
 use crate::fleet::{Flavor, fetch_rate};
@@ -15,6 +16,7 @@
 use crate::preempt::{self, Site, Victim};
 use crate::queue::{Check, Event, Order};
 use crate::quota;
+use crate::settings::TeamSettings;
 use crate::types::{
     Attempt, BlockId, HostId, JobId, Millis, NodeId, Revision, Room, Session, Sku, TaskId, Token,
     Zone,
@@ -67,16 +69,8 @@
     }
 
     fn order(&self, job: &Job) -> Order {
-        let at_once = match job.spec.shape {
-            Shape::Array => 1,
-            Shape::Gang | Shape::Service => job.record.tasks,
-        };
-        let wanted = job.spec.room.times(f64::from(at_once));
-        let guaranteed = self.settings.team(&job.spec.team).is_some_and(|team| {
-            quota::guaranteed(self.jobs.usage(&job.spec.team).plus(wanted), team)
-        });
         Order {
-            beyond_guarantee: !guaranteed,
+            beyond_guarantee: !self.guaranteed(job),
             rank: std::cmp::Reverse(job.spec.rank),
             born: job.born,
         }
@@ -421,11 +415,13 @@
             return Err(BTreeSet::from([Check::Attempt]));
         }
         let count = if gang { job.record.tasks } else { 1 };
-        if let Some(team) = self.settings.team(&job.spec.team) {
-            let wanted = job.spec.room.times(f64::from(count));
-            if !quota::within(self.jobs.usage(&team.name).plus(wanted), team) {
-                return Err(BTreeSet::from([Check::Team]));
-            }
+        let wanted = job.spec.room.times(f64::from(count));
+        let keeps = |team: &TeamSettings| {
+            let used = self.jobs.usage(&team.name);
+            quota::within(used.plus(wanted), team)
+        };
+        if !self.limits(job).iter().all(keeps) {
+            return Err(BTreeSet::from([Check::Team]));
         }
         if !gang {
             let Some((index, tried)) = job.next_waiting(1).first().copied() else {
@@ -437,7 +433,7 @@
             let limited = self
                 .jobs
                 .get(id)
-                .is_some_and(|job| self.limited(job).is_some());
+                .is_some_and(|job| !self.limits(job).is_empty());
             if self.leading().is_none() || !limited {
                 return Err(checks);
             }
@@ -582,25 +578,37 @@
         }
     }
 
-    /// Whether a task may be stopped for the job.
-    fn may_stop(&self, job: &Job, guaranteed: bool, victim: &Job) -> bool {
+    /// Whether a task may be stopped for the job; of work that its team borrowed, how far that is
+    /// over its share.
+    fn may_stop(
+        &self,
+        job: &Job,
+        guaranteed: bool,
+        reclaim: Option<&Reclaim>,
+        victim: &Job,
+    ) -> Option<Option<i64>> {
         if victim.spec.rank < job.spec.rank {
-            return true;
+            return Some(None);
         }
         // Work beyond its team's guarantee gives way to another team's guarantee; replicas only
         // when nothing else made room for a while.
         let patient = self.now.since(job.settled) > REPLICAS_GIVE_WAY;
-        guaranteed
+        let gives = guaranteed
             && (victim.spec.shape != Shape::Service || patient)
-            && victim.spec.team != job.spec.team
-            && self.settings.team(&victim.spec.team).is_some_and(|team| {
-                let left = self.jobs.usage(&team.name).minus(victim.spec.room);
-                !quota::guaranteed(left, team)
-            })
+            && victim.spec.team != job.spec.team;
+        if !gives {
+            return None;
+        }
+        if let Some(reclaim) = reclaim.filter(|_| self.in_tree(&victim.spec.team)) {
+            return self.borrowed(reclaim, victim).map(Some);
+        }
+        let team = self.settings.team(&victim.spec.team)?;
+        let left = self.jobs.usage(&team.name).minus(victim.spec.room);
+        (!quota::guaranteed(left, team)).then_some(None)
     }
 
     /// Seconds that stopping a task wastes: saving, or its work so far, and starting it again.
-    fn waste(&self, victim: &Job) -> f64 {
+    pub(super) fn waste(&self, victim: &Job) -> f64 {
         let spec = &victim.spec;
         let whole = self.flavors.first().map(|f| f.room);
         let share = victim.spec.room.share_of(whole.unwrap_or(victim.spec.room));
@@ -625,6 +633,7 @@
             return false;
         };
         let guaranteed = !self.order(job).beyond_guarantee;
+        let mut reclaim = self.reclaim(job);
         let asking = Asking::new(job, Vec::new());
         let sites = self
             .machines
@@ -635,7 +644,7 @@
             })
             .filter(|m| job.spec.allows(&m.rig, &m.zone, m.spot))
             .filter(|m| asking.zone_allowed(&m.zone))
-            .map(|machine| self.site(job, guaranteed, machine))
+            .map(|machine| self.site(job, guaranteed, &mut reclaim, machine))
             .collect();
         let room = job.spec.room;
         let Some((host, victims)) = preempt::choose(room, sites) else {
@@ -684,6 +693,7 @@
     fn gang_offers(&self, id: &JobId) -> Option<Vec<preempt::Offer>> {
         let job = self.jobs.get(id)?;
         let guaranteed = !self.order(job).beyond_guarantee;
+        let mut reclaim = self.reclaim(job);
         let (room, count) = (job.spec.room, job.record.tasks);
         let asking = Asking::new(job, self.full_blocks(job, Some(count)));
         let mut zones: BTreeMap<Option<&Zone>, Vec<preempt::Offer>> = BTreeMap::new();
@@ -697,7 +707,7 @@
                 continue;
             }
             let zone = job.spec.one_zone.then_some(&machine.zone);
-            let offer = preempt::offer(room, &self.site(job, guaranteed, machine));
+            let offer = preempt::offer(room, &self.site(job, guaranteed, &mut reclaim, machine));
             zones.entry(zone).or_default().extend(offer);
         }
         preempt::cheapest_set(zones.into_values(), count as usize)
@@ -730,7 +740,14 @@
     }
 
     /// What could be stopped on a machine for the job.
-    fn site(&self, job: &Job, guaranteed: bool, machine: &Machine) -> Site {
+    fn site(
+        &self,
+        job: &Job,
+        guaranteed: bool,
+        reclaim: &mut Option<Reclaim>,
+        machine: &Machine,
+    ) -> Site {
+        let known = reclaim.as_ref().map_or(0, |r| r.leaving.len());
         let victim = |(id, index): &(JobId, u32)| {
             let task = TaskId {
                 job: id.clone(),
@@ -738,26 +755,42 @@
             };
             let victim = self.jobs.get(id)?;
             let leaving = self.stops.contains_key(&task) || !victim.active();
-            (leaving || !victim.whole_gang() && self.may_stop(job, guaranteed, victim)).then(|| {
-                Victim {
-                    task,
-                    room: victim.spec.room,
-                    rank: victim.spec.rank,
-                    waste_s: self.waste(victim),
-                    leaving,
-                }
+            let over = if leaving {
+                None
+            } else if victim.whole_gang() {
+                return None;
+            } else {
+                self.may_stop(job, guaranteed, reclaim.as_ref(), victim)?
+            };
+            // Tasks of one team on one machine may all be chosen: together they must not take it
+            // below its share.
+            if let Some(reclaim) = reclaim.as_mut().filter(|_| over.is_some()) {
+                let its = (victim.spec.team.clone(), victim.spec.room);
+                reclaim.leaving.push(its);
+            }
+            Some(Victim {
+                task,
+                room: victim.spec.room,
+                rank: victim.spec.rank,
+                waste_s: self.waste(victim),
+                leaving,
+                over,
             })
         };
+        let victims = self
+            .jobs
+            .on_host(&machine.host)
+            .filter_map(victim)
+            .collect();
+        if let Some(reclaim) = reclaim {
+            reclaim.leaving.truncate(known);
+        }
         let rate = fetch_rate(&self.flavors, &machine.rig);
         let (image, gb) = (&job.spec.image, job.spec.image_gb);
         Site {
             host: machine.host.clone(),
             free: self.free_for(machine, &job.id),
-            victims: self
-                .jobs
-                .on_host(&machine.host)
-                .filter_map(victim)
-                .collect(),
+            victims,
             delay_s: machine.image_s(image, gb, rate, self.now),
         }
     }
@@ -808,8 +841,10 @@
                 }
                 (Check::Zones, Event::Machine(_)) => true,
                 (Check::Zones | Check::Attempt, Event::TaskLeft(left)) => left == id,
-                (Check::Team | Check::Share, Event::TeamFreed(team)) => *team == job.spec.team,
+                (Check::Team | Check::Share, Event::TeamFreed(team)) => self.team_helps(team, id),
                 (Check::Share, Event::Dealt) => true,
+                (Check::Team | Check::Share | Check::Room, Event::NewTree) => true,
+                (Check::Room | Check::Machine, Event::Entitled(team)) => *team == job.spec.team,
                 _ => false,
             }
         });
--- a/src/controller/sharing.rs
+++ b/src/controller/sharing.rs
@@ -13,10 +13,9 @@
 const VOID_EVERY: Millis = Millis(500);
 
 impl Controller {
-    /// The team of a job, if it has a limit.
-    pub(super) fn limited(&self, job: &Job) -> Option<&TeamSettings> {
-        let team = self.settings.team(&job.spec.team)?;
-        team.limited().then_some(team)
+    /// Whatever caps a job's team: its own limit, and those of the nodes above it in the tree.
+    pub(super) fn limits(&self, job: &Job) -> &[TeamSettings] {
+        self.nested.limits(&job.spec.team)
     }
 
     /// Whether the cache shows all that was placed in a block before we came to hold it.
@@ -25,26 +24,31 @@
         self.applied.0 >= token
     }
 
-    /// The blocks in which the next task of a job would exceed the team's share. With `raise`,
+    /// The blocks in which the next task of a job would exceed the share of its team, or of a node
+    /// above it. With `raise`,
     /// the leader adds to a share what it places, as long as the limit has room for `tasks`.
     pub(super) fn full_blocks(&self, job: &Job, raise: Option<u32>) -> Vec<BlockId> {
-        let Some(team) = self.limited(job) else {
-            return Vec::new();
-        };
-        let raises = raise.is_some_and(|tasks| {
-            let room = job.spec.room.times(f64::from(tasks));
-            self.may_raise() && quota::covers(quota::slack(team, &self.dealt_out(team)), room)
-        });
-        let fits = |block: &BlockId| {
-            let used = self.jobs.used_in(&team.name, block).plus(job.spec.room);
-            let share = self.shares.share(block, &team.name);
-            // What is placed in another's block has to be added to its share.
-            let ours = self.leases.holds(block, &self.me).is_some();
-            let keeps = (ours || raise.is_none()) && self.complete(block);
-            raises || keeps && quota::within_share(used, share, team)
-        };
-        let blocks = self.leases.blocks.keys();
-        blocks.filter(|block| !fits(block)).cloned().collect()
+        let mut full: Vec<BlockId> = Vec::new();
+        for team in self.limits(job) {
+            let raises = raise.is_some_and(|tasks| {
+                let room = job.spec.room.times(f64::from(tasks));
+                self.may_raise() && quota::covers(quota::slack(team, &self.dealt_out(team)), room)
+            });
+            if raises {
+                continue;
+            }
+            let fits = |block: &BlockId| {
+                let used = self.jobs.used_in(&team.name, block).plus(job.spec.room);
+                let share = self.shares.share(block, &team.name);
+                // What is placed in another's block has to be added to its share.
+                let ours = self.leases.holds(block, &self.me).is_some();
+                let keeps = (ours || raise.is_none()) && self.complete(block);
+                keeps && quota::within_share(used, share, team)
+            };
+            let blocks = self.leases.blocks.keys();
+            full.extend(blocks.filter(|block| !fits(block)).cloned());
+        }
+        full
     }
 
     /// Whether the leader knows all that shares rest on: everything placed before any share last
@@ -55,6 +59,9 @@
             && self.synced
             && self.applied >= self.list_end
             && self.applied >= self.shares.newest()
+            // Whatever was placed by an earlier tree is known, and nothing can be any more.
+            && self.nested.settled()
+            && self.applied >= self.nested.version()
             && self.leases.blocks.keys().all(|block| self.complete(block))
     }
 
@@ -91,15 +98,9 @@
                 memory_gb: 0.0,
             });
         let mut records = BTreeMap::new();
-        for team in self
-            .settings
-            .deployment
-            .teams
-            .iter()
-            .filter(|t| t.limited())
-        {
-            let blocks = self.all_blocks(team);
-            let shares = quota::deal(team, least, &self.dealt_out(team));
+        for team in self.nested.limited() {
+            let blocks = self.all_blocks(&team);
+            let shares = quota::deal(&team, least, &self.dealt_out(&team));
             for (block, share) in blocks.into_iter().zip(shares) {
                 if share != self.shares.share(&block, &team.name) {
                     records
@@ -115,6 +116,8 @@
         self.dealt = self.now;
         let mut txn = Txn::default();
         txn.require(crate::lease::LEADER.into(), lead);
+        // Dealt by another tree, the shares might exceed the limits of the one in force.
+        self.require_tree(&mut txn);
         for (block, record) in records {
             if txn.changes.len() >= self.settings.deployment.state.txn_ops {
                 break;
@@ -134,25 +137,31 @@
         txn: &mut Txn,
         placed: &[(BlockId, u32)],
     ) -> bool {
-        let Some(team) = self.limited(job) else {
+        let limits = self.limits(job);
+        if limits.is_empty() {
             return true;
-        };
+        }
         for (block, tasks) in placed {
-            // What is reserved counts as used already.
-            let used = self.jobs.used_in(&team.name, block);
-            let share = self.shares.share(block, &team.name);
             let ours = self.leases.holds(block, &self.me).is_some() && self.complete(block);
             txn.require(share_key(block), self.shares.version(block));
-            if ours && quota::within_share(used, share, team) {
-                continue;
+            let mut raised = None;
+            for team in limits {
+                // What is reserved counts as used already.
+                let used = self.jobs.used_in(&team.name, block);
+                let share = self.shares.share(block, &team.name);
+                if ours && quota::within_share(used, share, team) {
+                    continue;
+                }
+                if !self.may_raise() || !quota::keeps_limit(team, &self.dealt_out(team)) {
+                    return false;
+                }
+                let room = job.spec.room.times(f64::from(*tasks));
+                let record = raised.unwrap_or_else(|| self.shares.record(block));
+                raised = Some(quota::raise(record, &team.name, used.minus(room), room));
             }
-            if !self.may_raise() || !quota::keeps_limit(team, &self.dealt_out(team)) {
-                return false;
+            if let Some(record) = raised {
+                txn.put(share_key(block), &record);
             }
-            let room = job.spec.room.times(f64::from(*tasks));
-            let record = self.shares.record(block);
-            let record = quota::raise(record, &team.name, used.minus(room), room);
-            txn.put(share_key(block), &record);
         }
         true
     }
@@ -161,7 +170,9 @@
     /// free before a change of the share that it rests on rules that out.
     pub(super) fn void_later(&mut self, id: &JobId) -> bool {
         let block = self.jobs.get(id).and_then(|job| {
-            self.limited(job)?;
+            if self.limits(job).is_empty() {
+                return None;
+            }
             job.changes.values().find_map(|change| match change {
                 Change::Place(placement) => Some(placement.block.clone()),
                 _ => None,
--- a/src/jobs/cache.rs
+++ b/src/jobs/cache.rs
@@ -306,33 +306,56 @@
 
 type InBlock = HashMap<Team, HashMap<BlockId, (Room, u32)>>;
 
-fn enter(blocks: &mut InBlock, block: &BlockId, spec: &Spec) {
-    let blocks = blocks.entry(spec.team.clone()).or_default();
-    let (room, tasks) = blocks.entry(block.clone()).or_default();
-    *room = room.plus(spec.room);
-    *tasks += 1;
+/// The groups of teams that each team belongs to: the nodes above it in the tree of quotas.
+pub type Groups = HashMap<Team, Vec<Team>>;
+
+/// A team and its groups.
+fn with_groups<'a>(groups: &'a Groups, team: &'a Team) -> impl Iterator<Item = &'a Team> {
+    std::iter::once(team).chain(groups.get(team).into_iter().flatten())
 }
 
-fn leave(blocks: &mut InBlock, block: &BlockId, spec: &Spec) {
-    let Some(blocks) = blocks.get_mut(&spec.team) else {
-        return;
-    };
-    if let Some((room, tasks)) = blocks.get_mut(block) {
-        *room = room.minus(spec.room);
-        *tasks -= 1;
-        if *tasks == 0 {
-            blocks.remove(block);
+fn enter(blocks: &mut InBlock, groups: &Groups, block: &BlockId, spec: &Spec) {
+    for team in with_groups(groups, &spec.team) {
+        let blocks = blocks.entry(team.clone()).or_default();
+        let (room, tasks) = blocks.entry(block.clone()).or_default();
+        *room = room.plus(spec.room);
+        *tasks += 1;
+    }
+}
+
+fn leave(blocks: &mut InBlock, groups: &Groups, block: &BlockId, spec: &Spec) {
+    for team in with_groups(groups, &spec.team) {
+        let Some(blocks) = blocks.get_mut(team) else {
+            continue;
+        };
+        if let Some((room, tasks)) = blocks.get_mut(block) {
+            *room = room.minus(spec.room);
+            *tasks -= 1;
+            if *tasks == 0 {
+                blocks.remove(block);
+            }
         }
     }
 }
 
+/// Adds to the sums of a team and its groups.
+fn count(sums: &mut HashMap<Team, Room>, groups: &Groups, team: &Team, room: Room) {
+    for team in with_groups(groups, team) {
+        let sum = sums.entry(team.clone()).or_default();
+        *sum = sum.plus(room);
+    }
+}
+
 #[derive(Default)]
 pub struct Jobs {
     jobs: HashMap<JobId, Job>,
     over: HashMap<JobId, Over>,
     on_host: HashMap<HostId, BTreeSet<(JobId, u32)>>,
     uses: HashMap<HostId, HostUse>,
+    /// What the placed tasks of each team, and of each group of teams, use.
     usage: HashMap<Team, Room>,
+    /// Groups are counted as teams are, under names of their own.
+    groups: Groups,
     /// What each team's tasks use in each block, reserved ones included, and how many they are.
     in_block: InBlock,
     /// Placed in memory, not yet committed.
@@ -415,6 +438,38 @@
         committed.plus(reserved)
     }
 
+    /// Counts by other groups from now on.
+    pub fn regroup(&mut self, groups: Groups) {
+        self.groups = groups;
+        self.usage.clear();
+        self.reserved_by.clear();
+        self.in_block.clear();
+        for job in self.jobs.values() {
+            let (groups, spec) = (&self.groups, &job.spec);
+            for (_, placement) in job.placements() {
+                count(&mut self.usage, groups, &spec.team, spec.room);
+                enter(&mut self.in_block, groups, &placement.block, spec);
+            }
+            for change in job.changes.values() {
+                if let Change::Place(placement) = change {
+                    count(&mut self.reserved_by, groups, &spec.team, spec.room);
+                    enter(&mut self.in_block, groups, &placement.block, spec);
+                }
+            }
+        }
+    }
+
+    /// All that the unfinished jobs of each team could use at once.
+    pub fn demands(&self) -> HashMap<&Team, Room> {
+        let mut demands: HashMap<&Team, Room> = HashMap::default();
+        for job in self.jobs.values().filter(|job| job.active()) {
+            let left = job.record.tasks.saturating_sub(job.done);
+            let demand = demands.entry(&job.spec.team).or_default();
+            *demand = demand.plus(job.spec.room.times(f64::from(left)));
+        }
+        demands
+    }
+
     /// What a team's tasks use in one block, reserved ones included.
     pub fn used_in(&self, team: &Team, block: &BlockId) -> Room {
         let blocks = self.in_block.get(team);
@@ -545,7 +600,7 @@
             .map(|p| p.tasks.as_slice())
             .unwrap_or_default();
         let first = page * job.record.page;
-        let usage = self.usage.entry(job.spec.team.clone()).or_default();
+        let mut change = Room::default();
         for index in 0..old.len().max(new.len()) {
             let before = old.get(index).unwrap_or(&Task::FRESH);
             let after = new.get(index).unwrap_or(&Task::FRESH);
@@ -556,11 +611,11 @@
             match before {
                 Task::Placed(p) => {
                     job.placed -= 1;
-                    *usage = usage.minus(job.spec.room);
+                    change = change.minus(job.spec.room);
                     if job.left.remove(&entry.1).is_none() {
                         vacate(&mut self.uses, &p.host, &job.spec, true);
                     }
-                    leave(&mut self.in_block, &p.block, &job.spec);
+                    leave(&mut self.in_block, &self.groups, &p.block, &job.spec);
                     if let Some(tasks) = self.on_host.get_mut(&p.host) {
                         tasks.remove(&entry);
                         if tasks.is_empty() {
@@ -575,9 +630,9 @@
             match after {
                 Task::Placed(p) => {
                     job.placed += 1;
-                    *usage = usage.plus(job.spec.room);
+                    change = change.plus(job.spec.room);
                     occupy(&mut self.uses, &p.host, &job.spec, true);
-                    enter(&mut self.in_block, &p.block, &job.spec);
+                    enter(&mut self.in_block, &self.groups, &p.block, &job.spec);
                     self.on_host
                         .entry(p.host.clone())
                         .or_default()
@@ -588,6 +643,9 @@
                 Task::Waiting { .. } => {}
             }
         }
+        if change != Room::default() {
+            count(&mut self.usage, &self.groups, &job.spec.team, change);
+        }
         touched
     }
 
@@ -600,9 +658,9 @@
         };
         if let Change::Place(placement) = &change {
             occupy(&mut self.uses, &placement.host, &job.spec, false);
-            enter(&mut self.in_block, &placement.block, &job.spec);
-            let reserved = self.reserved_by.entry(job.spec.team.clone()).or_default();
-            *reserved = reserved.plus(job.spec.room);
+            let (groups, spec) = (&self.groups, &job.spec);
+            enter(&mut self.in_block, groups, &placement.block, spec);
+            count(&mut self.reserved_by, groups, &spec.team, spec.room);
         } else if let Some(host) = job.task(index).placement().map(|p| p.host.clone()) {
             vacate(&mut self.uses, &host, &job.spec, true);
             job.left.insert(index, host);
@@ -623,9 +681,10 @@
             }
             if let Some(Change::Place(placement)) = change {
                 vacate(&mut self.uses, &placement.host, &job.spec, false);
-                leave(&mut self.in_block, &placement.block, &job.spec);
-                let reserved = self.reserved_by.entry(job.spec.team.clone()).or_default();
-                *reserved = reserved.minus(job.spec.room);
+                let (groups, spec) = (&self.groups, &job.spec);
+                leave(&mut self.in_block, groups, &placement.block, spec);
+                let less = Room::default().minus(spec.room);
+                count(&mut self.reserved_by, groups, &spec.team, less);
             }
         }
     }
--- a/src/preempt.rs
+++ b/src/preempt.rs
@@ -13,6 +13,8 @@
     pub waste_s: f64,
     /// It is being stopped already.
     pub leaving: bool,
+    /// Of borrowed work that is reclaimed: how far its team is over its share, in steps.
+    pub over: Option<i64>,
 }
 
 /// A machine on which room could be made.
@@ -31,8 +33,17 @@
     pub host: HostId,
     /// Whom to stop there; tasks that are leaving already cost nothing.
     pub victims: Vec<TaskId>,
-    /// The highest priority that is stopped, and the seconds that are wasted.
-    cost: (Rank, f64),
+    cost: Cost,
+}
+
+/// What is stopped: of the borrowers furthest over their share first, then the lowest priority,
+/// then the fewest seconds wasted.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+struct Cost {
+    /// Steps that the furthest borrower is over, negative; the greatest where nobody is stopped.
+    near: i64,
+    rank: Rank,
+    waste_s: f64,
 }
 
 pub fn offer(room: Room, site: &Site) -> Option<Offer> {
@@ -41,14 +52,16 @@
     let highest = needed.iter().map(|v| v.rank).max();
     let stopped = || needed.iter().filter(|victim| !victim.leaving);
     let waste: f64 = stopped().map(|v| v.waste_s).sum();
+    let near = needed.iter().filter_map(|v| v.over).map(|over| -over).min();
     Some(Offer {
         host: site.host.clone(),
         victims: stopped().map(|victim| victim.task.clone()).collect(),
         // Stopping nobody is no better than stopping work of normal priority if it takes longer.
-        cost: (
-            highest.unwrap_or(Rank::BestEffort).max(Rank::Normal),
-            waste + site.delay_s,
-        ),
+        cost: Cost {
+            near: near.unwrap_or(0),
+            rank: highest.unwrap_or(Rank::BestEffort).max(Rank::Normal),
+            waste_s: waste + site.delay_s,
+        },
     })
 }
 
@@ -61,16 +74,20 @@
 
 /// Of several sets of machines, the one where room for `count` tasks costs least, and where there.
 pub fn cheapest_set(sets: impl Iterator<Item = Vec<Offer>>, count: usize) -> Option<Vec<Offer>> {
-    let mut best: Option<((Rank, f64), Vec<Offer>)> = None;
+    let mut best: Option<(Cost, Vec<Offer>)> = None;
     for mut offers in sets.filter(|offers| offers.len() >= count) {
         offers.sort_by(|a, b| {
-            let by_cost = a.cost.0.cmp(&b.cost.0).then(a.cost.1.total_cmp(&b.cost.1));
-            by_cost.then(a.host.cmp(&b.host))
+            let key = |offer: &Offer| (offer.cost.near, offer.cost.rank);
+            let by_waste = a.cost.waste_s.total_cmp(&b.cost.waste_s);
+            key(a).cmp(&key(b)).then(by_waste).then(a.host.cmp(&b.host))
         });
         offers.truncate(count);
-        let highest = offers.iter().map(|o| o.cost.0).max();
-        let waste: f64 = offers.iter().map(|o| o.cost.1).sum();
-        let cost = (highest.unwrap_or(Rank::BestEffort), waste);
+        let highest = offers.iter().map(|o| o.cost.rank).max();
+        let cost = Cost {
+            near: offers.iter().map(|o| o.cost.near).min().unwrap_or(0),
+            rank: highest.unwrap_or(Rank::BestEffort),
+            waste_s: offers.iter().map(|o| o.cost.waste_s).sum(),
+        };
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             best = Some((cost, offers));
         }
@@ -82,7 +99,7 @@
 fn gather(room: Room, site: &Site) -> Option<(Vec<&Victim>, Room)> {
     let mut order: Vec<&Victim> = site.victims.iter().collect();
     order.sort_by(|a, b| {
-        let key = |v: &Victim| (!v.leaving, v.rank);
+        let key = |v: &Victim| (!v.leaving, -v.over.unwrap_or(0), v.rank);
         key(a)
             .cmp(&key(b))
             .then(a.waste_s.total_cmp(&b.waste_s))
@@ -139,6 +156,7 @@
                     rank: *rank,
                     waste_s: *waste_s,
                     leaving: *leaving,
+                    over: None,
                 })
                 .collect(),
             delay_s: 0.0,
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -41,6 +41,10 @@
     TeamFreed(Team),
     /// Shares of the teams' limits were dealt anew.
     Dealt,
+    /// Another tree of quotas is in force.
+    NewTree,
+    /// The tree of quotas entitles the team to more than before.
+    Entitled(Team),
 }
 
 /// Who goes first: work within its team's guarantee, then priority, then age.
--- a/src/quota.rs
+++ b/src/quota/mod.rs
@@ -4,6 +4,8 @@
 //! on condition that the record of the share has not changed; the leader deals so that the sum
 //! never exceeds the limit, whatever was placed that it has not seen yet.
 
+pub mod nested;
+
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
@@ -219,6 +221,22 @@
     most <= 0.0 || amount <= most + 1e-6
 }
 
+/// What a team that uses `room` may still use.
+pub fn left(room: Room, team: &TeamSettings) -> Room {
+    let rest = |most: f64, used: f64| {
+        if most > 0.0 {
+            most - used
+        } else {
+            f64::INFINITY
+        }
+    };
+    Room {
+        cpus: rest(team.cpus_max, room.cpus),
+        gpus: rest(team.gpus_max, room.gpus),
+        memory_gb: f64::INFINITY,
+    }
+}
+
 /// Whether a team that uses `room` keeps its limit.
 pub fn within(room: Room, team: &TeamSettings) -> bool {
     under(room.cpus, team.cpus_max) && under(room.gpus, team.gpus_max)
--- /dev/null
+++ b/src/quota/nested.rs
@@ -0,0 +1,583 @@
+//! The tree of nested quotas: what the operator's file says, what the state service holds, and what
+//! of it is in force. The tree in the state service counts, for every controller alike; a file with
+//! a higher revision replaces it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use rustc_hash::FxHashMap as HashMap;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use tiller_quota::{Amount, NodeIx, NodeSpec, Outer, Shares, Tree, TreeError, TreeSpec};
+
+use crate::jobs::cache::Groups;
+use crate::settings::TeamSettings;
+use crate::types::{Millis, Revision, Room, Team};
+
+/// The record that says which tree is in force. Its version is a condition of every placement.
+pub const HEAD: &str = "jt/tree";
+/// Its nodes, in pages.
+pub const PAGES: &str = "jt/tree/";
+/// Of a value, the part that a page fills at the most.
+const FULL: f64 = 0.9;
+/// The most bytes that a group's share takes in a block's record, besides its name.
+const SHARE_BYTES: usize = 64;
+
+impl From<Room> for Amount {
+    fn from(room: Room) -> Self {
+        Amount::new(room.cpus, room.gpus)
+    }
+}
+
+/// What the platform says of its teams, as the tree wants to know it.
+pub fn outers(teams: &[TeamSettings]) -> Vec<Outer> {
+    let outer = |team: &TeamSettings| Outer {
+        team: team.name.to_string(),
+        guarantee: Amount::new(team.cpus, team.gpus),
+        limit: Amount::new(team.cpus_max, team.gpus_max),
+    };
+    teams.iter().map(outer).collect()
+}
+
+/// The name under which a node's use and share are counted beside the teams'.
+pub fn group_name(node: &str) -> Team {
+    format!("#{node}").into()
+}
+
+/// Bytes of a block's record if every team and node with a limit has a share there.
+pub fn share_bytes(teams: &[TeamSettings], tree: &Tree) -> usize {
+    let mut names: Vec<usize> = Vec::new();
+    let limited = teams.iter().filter(|team| team.limited());
+    names.extend(limited.map(|team| team.name.as_str().len()));
+    let nodes = tree.nodes.iter().filter(|node| !node.own_limit.is_zero());
+    names.extend(nodes.map(|node| node.name.len()));
+    names.iter().map(|name| name + SHARE_BYTES).sum()
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Head {
+    revision: u64,
+    hash: String,
+    pages: u32,
+    hold_ms: u64,
+    enabled: bool,
+}
+
+impl Head {
+    fn page_key(&self, page: u32) -> String {
+        format!("{PAGES}{}-{}/{page}", self.revision, self.hash)
+    }
+}
+
+/// A tree cut into pages that each fit one value.
+#[derive(Clone, Debug)]
+struct Paged {
+    head: Head,
+    pages: Vec<String>,
+}
+
+fn hash_of<'a>(pages: impl Iterator<Item = &'a str>) -> String {
+    let mut hash = Sha256::new();
+    for page in pages {
+        hash.update(page.as_bytes());
+        hash.update([0]);
+    }
+    let bytes = hash.finalize();
+    bytes[..8]
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect()
+}
+
+fn paged(spec: &TreeSpec, value_kb: f64) -> Paged {
+    let most = (value_kb * 1024.0 * FULL) as usize;
+    let mut pages = Vec::new();
+    let mut page = String::from("[");
+    for node in &spec.nodes {
+        let text = serde_json::to_string(node).unwrap_or_default();
+        if page.len() > 1 && page.len() + text.len() + 2 > most {
+            pages.push(std::mem::replace(&mut page, "[".into()) + "]");
+        }
+        if page.len() > 1 {
+            page.push(',');
+        }
+        page.push_str(&text);
+    }
+    pages.push(page + "]");
+    let head = Head {
+        revision: spec.revision,
+        hash: hash_of(pages.iter().map(String::as_str)),
+        pages: pages.len() as u32,
+        hold_ms: (spec.hold_s * 1e3) as u64,
+        enabled: spec.enabled,
+    };
+    Paged { head, pages }
+}
+
+/// What the controller has to write so that its file comes into force.
+#[derive(Debug, PartialEq)]
+pub enum Owed {
+    Nothing,
+    /// Pages that are not there yet: key and text.
+    Pages(Vec<(String, String)>),
+    /// All pages are there: the head, to be written over this version of it.
+    Head(String, Revision),
+}
+
+/// How the file of this controller stands to the tree in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    None,
+    InForce,
+    /// A newer one is in force.
+    Old,
+    /// Another one with the same revision is.
+    Differs,
+    /// It is newer, and on its way into the state service.
+    New,
+}
+
+/// The tree in force, and what its nodes are entitled to.
+pub struct Force {
+    pub shares: Shares,
+    /// By team: those that cap it, itself first.
+    limits: HashMap<Team, Vec<TeamSettings>>,
+    /// By team: the nodes above it, under their groups' names.
+    groups: Groups,
+    names: Vec<Team>,
+}
+
+#[derive(Default)]
+pub struct Nested {
+    platform: Vec<TeamSettings>,
+    file: Option<Paged>,
+    head: Option<Head>,
+    head_version: Revision,
+    pages: BTreeMap<String, (String, Revision)>,
+    /// The version of the head that `force` was made from.
+    version: Revision,
+    force: Option<Force>,
+    /// Without a tree: each team's own limit.
+    flat: HashMap<Team, Vec<TeamSettings>>,
+    refreshed: Millis,
+}
+
+fn limits_of(team: &TeamSettings) -> Vec<TeamSettings> {
+    team.limited().then(|| team.clone()).into_iter().collect()
+}
+
+impl Nested {
+    pub fn new(teams: &[TeamSettings], file: Option<&TreeSpec>, value_kb: f64) -> Self {
+        Self {
+            platform: teams.to_vec(),
+            file: file.map(|spec| paged(spec, value_kb)),
+            flat: teams
+                .iter()
+                .map(|team| (team.name.clone(), limits_of(team)))
+                .collect(),
+            ..Self::default()
+        }
+    }
+
+    /// The version of the head that decisions rest on. Another one may be there already, whose
+    /// pages have not all come: what is decided then is not written.
+    pub fn version(&self) -> Revision {
+        self.version
+    }
+
+    /// Whether the newest head that was seen is the one in force.
+    pub fn settled(&self) -> bool {
+        self.version == self.head_version
+    }
+
+    pub fn force(&self) -> Option<&Force> {
+        self.force.as_ref()
+    }
+
+    /// Whatever caps a team, itself first.
+    pub fn limits(&self, team: &Team) -> &[TeamSettings] {
+        let limits = match &self.force {
+            Some(force) => &force.limits,
+            None => &self.flat,
+        };
+        limits.get(team).map_or(&[], Vec::as_slice)
+    }
+
+    /// All that have a limit, each once.
+    pub fn limited(&self) -> Vec<TeamSettings> {
+        let teams = self.platform.iter();
+        let mut all: Vec<TeamSettings> = teams
+            .flat_map(|team| self.limits(&team.name).iter().cloned())
+            .collect();
+        all.sort_by(|a, b| a.name.cmp(&b.name));
+        all.dedup_by(|a, b| a.name == b.name);
+        all
+    }
+
+    /// Whether room that one team frees may help another past a limit.
+    pub fn related(&self, a: &Team, b: &Team) -> bool {
+        let caps_b = |name: &Team| self.limits(b).iter().any(|limit| limit.name == *name);
+        a == b || self.limits(a).iter().any(|limit| caps_b(&limit.name))
+    }
+
+    pub fn standing(&self) -> Standing {
+        let Some(file) = &self.file else {
+            return Standing::None;
+        };
+        match &self.head {
+            Some(head) if head.revision > file.head.revision => Standing::Old,
+            Some(head) if head.revision == file.head.revision && *head != file.head => {
+                Standing::Differs
+            }
+            Some(head) if head.revision == file.head.revision => Standing::InForce,
+            _ => Standing::New,
+        }
+    }
+
+    /// What is to be written next, at most so many pages and bytes at a time.
+    pub fn owed(&self, most: usize) -> Owed {
+        let Some(file) = self
+            .file
+            .as_ref()
+            .filter(|_| self.standing() == Standing::New)
+        else {
+            return Owed::Nothing;
+        };
+        let missing = |(page, text): &(u32, &String)| {
+            let known = self.pages.get(&file.head.page_key(*page));
+            known.is_none_or(|(known, _)| known != *text)
+        };
+        let pages: Vec<(String, String)> = (0..)
+            .zip(&file.pages)
+            .filter(missing)
+            .take(most)
+            .map(|(page, text)| (file.head.page_key(page), text.clone()))
+            .collect();
+        if !pages.is_empty() {
+            return Owed::Pages(pages);
+        }
+        let head = serde_json::to_string(&file.head).unwrap_or_default();
+        Owed::Head(head, self.head_version)
+    }
+
+    /// Pages of trees that have been replaced. Those of a newer revision than the head's are on
+    /// their way in, so they are left alone.
+    pub fn leftovers(&self) -> impl Iterator<Item = &String> {
+        let head = self.head.as_ref();
+        self.pages.keys().filter(move |key| {
+            let revision = key
+                .strip_prefix(PAGES)
+                .and_then(|rest| rest.split('-').next())
+                .and_then(|text| text.parse::<u64>().ok());
+            head.is_some_and(|head| {
+                let its = format!("{PAGES}{}-{}/", head.revision, head.hash);
+                revision.is_none_or(|revision| revision <= head.revision) && !key.starts_with(&its)
+            })
+        })
+    }
+
+    pub fn page_version(&self, key: &str) -> Revision {
+        self.pages.get(key).map(|(_, v)| *v).unwrap_or_default()
+    }
+
+    /// Takes a record; whether another tree is in force now.
+    pub fn feed(&mut self, key: &str, data: Option<&str>, version: Revision) -> bool {
+        if key == HEAD {
+            if version <= self.head_version {
+                return false;
+            }
+            self.head_version = version;
+            self.head = data.and_then(|text| serde_json::from_str(text).ok());
+        } else if self.page_version(key) < version {
+            match data {
+                Some(text) => {
+                    self.pages.insert(key.into(), (text.into(), version));
+                }
+                None => {
+                    self.pages.remove(key);
+                }
+            }
+        }
+        self.adopt()
+    }
+
+    /// Forgets what came from the state service, but goes on by the tree it knows until it has
+    /// read it again.
+    pub fn start_over(&mut self) {
+        self.head = None;
+        self.head_version = Revision(0);
+        self.version = Revision(0);
+        self.pages.clear();
+    }
+
+    fn adopt(&mut self) -> bool {
+        if self.settled() {
+            return false;
+        }
+        let Some(head) = self.head.clone() else {
+            return false;
+        };
+        let texts: Option<Vec<&str>> = (0..head.pages)
+            .map(|page| Some(self.pages.get(&head.page_key(page))?.0.as_str()))
+            .collect();
+        let Some(texts) = texts else { return false };
+        let force = match force(&head, &texts, &self.platform) {
+            Ok(force) => force,
+            Err(error) => {
+                tracing::error!(%error, "the tree of quotas in force makes no sense");
+                return false;
+            }
+        };
+        let nodes = force.as_ref().map_or(0, |f| f.shares.tree().nodes.len());
+        tracing::info!(revision = head.revision, nodes, "tree of quotas in force");
+        self.force = force;
+        self.version = self.head_version;
+        true
+    }
+
+    /// The groups that each team is counted in.
+    pub fn groups(&self) -> Groups {
+        let force = self.force.as_ref();
+        force.map(|f| f.groups.clone()).unwrap_or_default()
+    }
+
+    /// Notes the teams' demands; the teams that are entitled to more than before. At most once in
+    /// `every`.
+    pub fn refresh<'a>(
+        &mut self,
+        now: Millis,
+        every: Millis,
+        demands: impl FnOnce() -> HashMap<&'a Team, Room>,
+    ) -> Vec<Team> {
+        let Some(force) = &mut self.force else {
+            return Vec::new();
+        };
+        if now.since(self.refreshed) < every {
+            return Vec::new();
+        }
+        self.refreshed = now;
+        force.refresh(now, &demands())
+    }
+}
+
+fn force(
+    head: &Head,
+    texts: &[&str],
+    platform: &[TeamSettings],
+) -> Result<Option<Force>, TreeError> {
+    let problem = |reason: &str| TreeError {
+        file: HEAD.into(),
+        field: format!("revision {}", head.revision),
+        reason: reason.into(),
+    };
+    if !head.enabled {
+        return Ok(None);
+    }
+    if hash_of(texts.iter().copied()) != head.hash {
+        return Err(problem("the pages are not those that were written"));
+    }
+    let mut nodes: Vec<NodeSpec> = Vec::new();
+    for text in texts {
+        let page: Vec<NodeSpec> =
+            serde_json::from_str(text).map_err(|error| problem(&error.to_string()))?;
+        nodes.extend(page);
+    }
+    let spec = TreeSpec {
+        revision: head.revision,
+        hold_s: head.hold_ms as f64 / 1e3,
+        enabled: true,
+        nodes,
+    };
+    let tree = spec.adopt(HEAD, &outers(platform))?;
+    Ok(Some(Force::new(Arc::new(tree), platform)))
+}
+
+impl Force {
+    fn new(tree: Arc<Tree>, platform: &[TeamSettings]) -> Self {
+        let names: Vec<Team> = tree
+            .all()
+            .map(|ix| match &tree.node(ix).team {
+                Some(team) => team.as_str().into(),
+                None => group_name(&tree.node(ix).name),
+            })
+            .collect();
+        let mut limits: HashMap<Team, Vec<TeamSettings>> = HashMap::default();
+        let mut groups = Groups::default();
+        for team in platform {
+            let Some(leaf) = tree.leaf(team.name.as_str()) else {
+                limits.insert(team.name.clone(), limits_of(team));
+                continue;
+            };
+            let capped = tree.path(leaf).map(|ix| {
+                let node = tree.node(ix);
+                TeamSettings {
+                    name: names[ix.0 as usize].clone(),
+                    cpus: node.guarantee.cpus,
+                    cpus_max: node.limit.cpus,
+                    gpus: node.guarantee.gpus,
+                    gpus_max: node.limit.gpus,
+                }
+            });
+            limits.insert(team.name.clone(), capped.filter(|t| t.limited()).collect());
+            let above = tree.path(leaf).skip(1);
+            let above = above.map(|ix| names[ix.0 as usize].clone()).collect();
+            groups.insert(team.name.clone(), above);
+        }
+        Self {
+            shares: Shares::new(tree),
+            limits,
+            groups,
+            names,
+        }
+    }
+
+    pub fn leaf(&self, team: &Team) -> Option<NodeIx> {
+        self.shares.tree().leaf(team.as_str())
+    }
+
+    /// The name under which a node is counted.
+    pub fn name(&self, ix: NodeIx) -> &Team {
+        &self.names[ix.0 as usize]
+    }
+
+    /// Whether a team's work counts for a node.
+    pub fn counts(&self, team: &Team, ix: NodeIx) -> bool {
+        let leaf = self.leaf(team);
+        leaf.is_some_and(|leaf| self.shares.tree().path(leaf).any(|at| at == ix))
+    }
+
+    fn refresh(&mut self, now: Millis, demands: &HashMap<&Team, Room>) -> Vec<Team> {
+        let tree = self.shares.tree().clone();
+        for ix in tree.all().filter(|ix| tree.node(*ix).team.is_some()) {
+            let demand = demands.get(self.name(ix)).copied().unwrap_or_default();
+            self.shares.set_demand(ix, demand.into(), now.0);
+        }
+        let raised = self.shares.refresh();
+        raised.into_iter().map(|ix| self.name(ix).clone()).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn team(name: &str, gpus: f64, gpus_max: f64) -> TeamSettings {
+        TeamSettings {
+            name: name.into(),
+            cpus: 0.0,
+            cpus_max: 0.0,
+            gpus,
+            gpus_max,
+        }
+    }
+
+    fn spec(revision: u64, limit: u32) -> TreeSpec {
+        let text = format!(
+            "[tree]\nrevision = {revision}\n[node top]\ngpus_max = {limit}\n\
+             [node a]\nparent = top\nteam = a\ngpus_max = 6\n[node b]\nparent = top\nteam = b\n"
+        );
+        TreeSpec::parse("f", &text).unwrap()
+    }
+
+    fn nested(file: Option<&TreeSpec>) -> Nested {
+        Nested::new(&[team("a", 2.0, 0.0), team("b", 0.0, 0.0)], file, 0.2)
+    }
+
+    /// A state service of one client.
+    fn write(nested: &mut Nested, others: &mut [&mut Nested], revision: &mut u64) -> usize {
+        let mut writes = 0;
+        loop {
+            let changes = match nested.owed(1) {
+                Owed::Nothing => return writes,
+                Owed::Pages(pages) => pages,
+                Owed::Head(text, _) => vec![(HEAD.to_string(), text)],
+            };
+            for (key, text) in changes {
+                *revision += 1;
+                writes += 1;
+                nested.feed(&key, Some(&text), Revision(*revision));
+                for other in others.iter_mut() {
+                    other.feed(&key, Some(&text), Revision(*revision));
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn the_highest_revision_comes_into_force_everywhere() {
+        let (old, new, odd) = (spec(1, 8), spec(2, 12), spec(2, 99));
+        let (mut holds_old, mut holds_new) = (nested(Some(&old)), nested(Some(&new)));
+        let (mut holds_odd, mut has_none) = (nested(Some(&odd)), nested(None));
+        let mut revision = 10;
+        let first = {
+            let mut others = [&mut holds_new, &mut holds_odd, &mut has_none];
+            write(&mut holds_old, &mut others, &mut revision)
+        };
+        assert!(first > 2, "{first} writes: pages and a head");
+        assert_eq!(holds_new.standing(), Standing::New);
+        assert_eq!(has_none.limits(&"b".into())[0].gpus_max, 8.0);
+        let mut others = [&mut holds_old, &mut holds_odd, &mut has_none];
+        write(&mut holds_new, &mut others, &mut revision);
+        let all = [&holds_old, &holds_new, &holds_odd, &has_none];
+        let standings = [
+            Standing::Old,
+            Standing::InForce,
+            Standing::Differs,
+            Standing::None,
+        ];
+        for (nested, standing) in all.into_iter().zip(standings) {
+            assert_eq!(nested.standing(), standing);
+            assert!(nested.settled());
+            assert_eq!(nested.version(), Revision(revision));
+            assert_eq!(nested.limits(&"b".into())[0].gpus_max, 12.0);
+            assert_eq!(nested.owed(9), Owed::Nothing);
+        }
+        // Its pages are of no more use; those of the tree in force are.
+        assert_eq!(has_none.leftovers().count(), first - 1);
+    }
+
+    /// A list brings the head before its pages. What was decided by the tree before must not be
+    /// written, so decisions keep to the version that they rest on.
+    #[test]
+    fn a_head_without_its_pages_is_not_in_force() {
+        let new = spec(3, 8);
+        let mut writer = nested(Some(&new));
+        let mut revision = 10;
+        write(&mut writer, &mut [], &mut revision);
+        let mut reader = nested(None);
+        let head = serde_json::to_string(writer.head.as_ref().unwrap()).unwrap();
+        assert!(!reader.feed(HEAD, Some(&head), Revision(revision)));
+        assert!(!reader.settled());
+        assert_eq!(reader.version(), Revision(0));
+        let pages: Vec<_> = writer.pages.clone().into_iter().collect();
+        for (index, (key, (text, version))) in pages.iter().enumerate() {
+            let last = index == pages.len() - 1;
+            assert_eq!(reader.feed(key, Some(text), *version), last);
+        }
+        assert_eq!(reader.version(), Revision(revision));
+        assert_eq!(reader.limits(&"a".into()).len(), 2);
+    }
+
+    #[test]
+    fn limits_of_every_level_cap_a_team() {
+        let file = spec(1, 8);
+        let mut nested = nested(Some(&file));
+        let flat = nested.limits(&"a".into());
+        assert!(flat.is_empty(), "{flat:?}");
+        write(&mut nested, &mut [], &mut 10);
+        let names = |team: &str| -> Vec<String> {
+            let limits = nested.limits(&team.into()).iter();
+            limits
+                .map(|l| format!("{} {}", l.name, l.gpus_max))
+                .collect()
+        };
+        assert_eq!(names("a"), ["a 6", "#top 8"]);
+        assert_eq!(names("b"), ["#top 8"]);
+        assert_eq!(nested.limited().len(), 2);
+        assert!(nested.related(&"a".into(), &"b".into()));
+        let off = TreeSpec::parse("f", "[tree]\nrevision = 2\nenabled = no\n").unwrap();
+        nested.file = Some(paged(&off, 8.0));
+        write(&mut nested, &mut [], &mut 100);
+        assert!(nested.force().is_none() && nested.limits(&"b".into()).is_empty());
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,11 +2,13 @@
 
 use std::fmt::Write as _;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use ini::Ini;
 use serde::Deserialize;
+use tiller_quota::{Note, TreeSpec};
 
+use crate::quota::nested;
 use crate::types::{Millis, NodeId, Team, Zone};
 
 /// A settings file that can't be used: which file, which field, and why.
@@ -18,6 +20,12 @@
     pub reason: String,
 }
 
+impl From<tiller_quota::TreeError> for SettingsError {
+    fn from(error: tiller_quota::TreeError) -> Self {
+        problem(&error.file, &error.field, error.reason)
+    }
+}
+
 fn problem(file: &str, field: &str, reason: impl ToString) -> SettingsError {
     SettingsError {
         file: file.into(),
@@ -37,6 +45,12 @@
     pub deployment: Deployment,
     #[serde(skip)]
     pub operator: Operator,
+    /// The tree of nested quotas, from the file that the operator's settings name.
+    #[serde(skip)]
+    pub tree: Option<TreeSpec>,
+    /// What the operator should know of it.
+    #[serde(skip)]
+    pub tree_notes: Vec<Note>,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -132,6 +146,8 @@
     pub stop_before: Millis,
     pub blocks_per_zone: u32,
     pub idle_return: Millis,
+    /// The file of the tree of nested quotas.
+    pub tree: Option<PathBuf>,
 }
 
 impl Default for Operator {
@@ -144,6 +160,7 @@
             stop_before: Millis(1_500),
             blocks_per_zone: 2,
             idle_return: Millis(20_000),
+            tree: None,
         }
     }
 }
@@ -178,7 +195,11 @@
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
         let file = path.display().to_string();
         let text = std::fs::read_to_string(path).map_err(|e| problem(&file, "file", e))?;
-        Self::parse(&file, &text)
+        let mut operator = Self::parse(&file, &text)?;
+        // It lies beside this file, unless its path says otherwise.
+        let beside = |tree| path.parent().unwrap_or(Path::new("")).join(tree);
+        operator.tree = operator.tree.map(beside);
+        Ok(operator)
     }
 
     pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
@@ -186,11 +207,19 @@
         let mut operator = Self::default();
         for (section, entries) in ini.iter() {
             let section = section.unwrap_or("");
-            if !section.is_empty() && !OPERATOR_KEYS.iter().any(|k| k.0 == section) {
+            let known = OPERATOR_KEYS.iter().any(|k| k.0 == section) || section == "quota";
+            if !section.is_empty() && !known {
                 return Err(problem(file, &format!("[{section}]"), "unknown section"));
             }
             for (key, text) in entries.iter() {
                 let field = format!("[{section}] {key}");
+                if (section, key) == ("quota", "tree") {
+                    if text.trim().is_empty() {
+                        return Err(problem(file, &field, "must name a file"));
+                    }
+                    operator.tree = Some(text.trim().into());
+                    continue;
+                }
                 let (_, _, least, most, set) = OPERATOR_KEYS
                     .iter()
                     .find(|k| k.0 == section && k.1 == key)
@@ -226,9 +255,45 @@
         if let Some(path) = operator {
             settings.operator = Operator::read(path)?;
         }
+        if let Some(path) = &settings.operator.tree {
+            let file = path.display().to_string();
+            let text = std::fs::read_to_string(path).map_err(|e| problem(&file, "file", e))?;
+            settings.take_tree(&file, &text)?;
+        }
         Ok(settings)
     }
 
+    /// Reads and checks a tree of nested quotas against the platform's teams.
+    pub fn take_tree(&mut self, file: &str, text: &str) -> Result<(), SettingsError> {
+        let spec = TreeSpec::parse(file, text)?;
+        let teams = &self.deployment.teams;
+        let (tree, notes) = spec.build(file, &nested::outers(teams))?;
+        let most = (self.deployment.state.value_kb * 1024.0) as usize;
+        let bytes = nested::share_bytes(teams, &tree);
+        if bytes > most {
+            let reason = format!(
+                "the shares of all teams and nodes with a limit take {bytes} bytes in a record of \
+                 {most} at the most: leave limits out"
+            );
+            return Err(problem(file, "[node ...] gpus_max, cpus_max", reason));
+        }
+        let largest = |name: &str| name.len() > 1_000;
+        if let Some(node) = spec.nodes.iter().find(|node| largest(&node.name)) {
+            let field = format!(
+                "[node {}...]",
+                &node.name.chars().take(20).collect::<String>()
+            );
+            return Err(problem(file, &field, "the name is longer than 1,000 bytes"));
+        }
+        if let Some(team) = teams.iter().find(|t| t.name.as_str().starts_with('#')) {
+            let reason = "a tree can't be used beside team names that start with #";
+            return Err(problem(file, &format!("team {}", team.name), reason));
+        }
+        self.tree = Some(spec);
+        self.tree_notes = notes;
+        Ok(())
+    }
+
     /// How many controllers there are, this one included.
     pub fn controllers(&self) -> usize {
         self.members.len() + 1
@@ -363,6 +428,15 @@
             "idle machines return",
             format!("after {} s", o.idle_return.secs()),
         );
+        if let Some(tree) = &self.tree {
+            let state = if tree.enabled { "" } else { ", switched off" };
+            let (nodes, revision) = (tree.nodes.len(), tree.revision);
+            let value = format!("revision {revision}, {nodes} nodes{state}");
+            line("tree of quotas", value);
+        }
+        for note in &self.tree_notes {
+            line("note", note.to_string());
+        }
         out
     }
 }
