--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use std::ffi::OsString;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -72,7 +73,12 @@
 }
 
 pub fn main() -> ExitCode {
-    let cli = Cli::parse();
+    run(std::env::args_os())
+}
+
+/// Runs the command line given, the program's name first.
+pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let cli = Cli::parse_from(args);
     start_logging();
     let (Command::Serve(files) | Command::Check(files)) = &cli.command;
     let settings = match Settings::read(&files.config, files.operator.as_deref()) {
--- a/src/quota/reclaim.rs
+++ b/src/quota/reclaim.rs
@@ -15,6 +15,9 @@
 /// those about as far over, waste decides.
 const STEPS: f64 = 64.0;
 
+/// A team, the bits of what its task takes, and how many such are stopped before.
+type Question = (Team, [u64; 2], u32);
+
 /// What the teams use, and what is about to change hands.
 #[derive(Clone)]
 pub struct Ledger<'a> {
@@ -28,7 +31,7 @@
     leaving: Vec<(Team, Room)>,
     /// Answers as long as nothing changes: by team, task, and how many of the team's tasks the
     /// same machine has in line before it.
-    known: RefCell<HashMap<(Team, [u64; 2], u32), Option<i64>>>,
+    known: RefCell<HashMap<Question, Option<i64>>>,
 }
 
 impl<'a> Ledger<'a> {
