tiller-region: a region on loopback with real controllers, a demo, and faults on request

A newcomer could not see the daemon do anything: it answers 503 until a state service, a cloud and workers are there. tiller-region serves the models of crates/region over HTTP on loopback and starts real controllers round them. demo runs 24 jobs on three controllers, kills one, checks all rules of the protocol and ends by itself; serve keeps a region up; faults come by command or plan file.

--- /dev/null
+++ b/crates/region/src/live/services.rs
@@ -0,0 +1,300 @@
+//! The state service and the cloud behind HTTP, one address of each per controller, so that one
+//! can be cut off.
+
+use std::time::Duration;
+
+use jaspertiller::fleet::{CloudAnswer, CloudCall, Stage};
+use jaspertiller::store::{Answer, Entry, Txn, Update};
+use jaspertiller::types::{HostId, Millis, Permit, Revision, Sku, Zone};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+use warp::http::Method;
+
+use super::Shared;
+use super::http::{self, Reaction, Request};
+
+/// Whoever is cut off hears nothing for this long, which is longer than it waits.
+const SILENCE: Duration = Duration::from_secs(15);
+
+pub fn serve(
+    shared: &Shared,
+    controller: usize,
+    state: std::net::TcpListener,
+    cloud: std::net::TcpListener,
+) -> anyhow::Result<()> {
+    let region = shared.clone();
+    tokio::spawn(http::serve(state, move |request| {
+        state_service(region.clone(), controller, request)
+    }));
+    let region = shared.clone();
+    tokio::spawn(http::serve(cloud, move |request| {
+        the_cloud(region.clone(), controller, request)
+    }));
+    Ok(())
+}
+
+fn ok(body: Value) -> Reaction {
+    (200, Some(body))
+}
+
+fn error(status: u16, why: &str) -> Reaction {
+    (status, Some(json!({"error": why})))
+}
+
+#[derive(Deserialize)]
+struct ConditionBody {
+    key: String,
+    stamp: Revision,
+}
+
+#[derive(Deserialize)]
+struct ChangeBody {
+    put: Option<String>,
+    data: Option<Box<RawValue>>,
+    permit: Option<Permit>,
+    drop: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct TxnBody {
+    #[serde(default, rename = "if")]
+    conditions: Vec<ConditionBody>,
+    #[serde(default)]
+    then: Vec<ChangeBody>,
+}
+
+#[derive(Deserialize)]
+struct GrantBody {
+    #[serde(rename = "lifeMs")]
+    life_ms: u64,
+}
+
+fn parse_txn(body: &[u8]) -> Option<Txn> {
+    let body: TxnBody = serde_json::from_slice(body).ok()?;
+    let mut txn = Txn::default();
+    for condition in body.conditions {
+        txn.conditions.push((condition.key, condition.stamp));
+    }
+    for change in body.then {
+        match (change.put, change.data, change.drop) {
+            (Some(key), Some(data), None) => {
+                txn.put_text(key, data.get().to_string(), change.permit);
+            }
+            (None, None, Some(key)) => txn.drop_key(key),
+            _ => return None,
+        }
+    }
+    Some(txn)
+}
+
+fn value(data: &str) -> Value {
+    serde_json::from_str(data).unwrap_or(Value::Null)
+}
+
+fn entry(entry: &Entry) -> Value {
+    json!({"key": entry.key, "data": value(entry.data.get()), "stamp": entry.version})
+}
+
+fn update(update: &Update) -> Value {
+    match update {
+        Update::Put(e) => {
+            json!({"put": e.key, "data": value(e.data.get()), "stamp": e.version})
+        }
+        Update::Dropped { key, version } => json!({"drop": key, "stamp": version}),
+    }
+}
+
+async fn state_service(shared: Shared, controller: usize, request: Request) -> Reaction {
+    let (cut, away, slow) = {
+        let region = shared.lock();
+        let (now, trouble) = (region.now(), &region.trouble);
+        let slow = (now < trouble.slow.0).then_some(trouble.slow.1);
+        (now < trouble.cut[controller], now < trouble.state, slow)
+    };
+    let watch = request.path == "/follow";
+    if cut || away && watch {
+        tokio::time::sleep(SILENCE).await;
+        return error(503, "away");
+    }
+    if away {
+        return error(503, "away");
+    }
+    if let Some(slow) = slow {
+        tokio::time::sleep(slow).await;
+    }
+    if !watch {
+        return answer(&shared, &request);
+    }
+    let (starts, from) = (
+        request.query.get("starts").cloned().unwrap_or_default(),
+        Revision(request.number("from").unwrap_or(0)),
+    );
+    let wait = Millis(request.number("waitMs").unwrap_or(0).min(60_000));
+    let (sender, receiver) = oneshot::channel();
+    {
+        let region = &mut *shared.lock();
+        let now = region.now();
+        if !region.store.allows(0, now) {
+            return error(429, "over the limit");
+        }
+        let id = region.store.watch(&starts, from, wait, now);
+        region.watches.insert(id, sender);
+    }
+    match receiver.await {
+        Ok(Answer::Updates { updates, revision }) => {
+            let news: Vec<Value> = updates.iter().map(update).collect();
+            ok(json!({"ledger": revision, "news": news}))
+        }
+        _ => error(410, "too old"),
+    }
+}
+
+fn answer(shared: &Shared, request: &Request) -> Reaction {
+    let region = &mut *shared.lock();
+    let now = region.now();
+    let txn = match request.path.as_str() {
+        "/txn" => match parse_txn(&request.body) {
+            Some(txn) => Some(txn),
+            None => return error(400, "malformed"),
+        },
+        _ => None,
+    };
+    let changes = txn.as_ref().map_or(0, |txn| txn.changes.len());
+    if !region.store.allows(changes, now) {
+        return error(429, "over the limit");
+    }
+    let store = &mut region.store;
+    if let Some(txn) = txn {
+        if let Some(why) = store.malformed(&txn) {
+            return error(400, &why);
+        }
+        return match store.apply(txn) {
+            Answer::Committed(revision) => ok(json!({"ledger": revision})),
+            Answer::Conflict(revision) => (409, Some(json!({"failed": [], "ledger": revision}))),
+            _ => error(400, "no such lease"),
+        };
+    }
+    let path: Vec<&str> = request
+        .path
+        .trim_start_matches('/')
+        .splitn(2, '/')
+        .collect();
+    match (&request.method, path.as_slice()) {
+        (&Method::GET, ["store"]) => {
+            let starts = request.query.get("starts").map_or("", String::as_str);
+            let most = request.number("most").unwrap_or(1_000).min(1_000) as usize;
+            let after = request.query.get("from").map(String::as_str);
+            match store.list(starts, after, most) {
+                Answer::Page {
+                    entries,
+                    more,
+                    revision,
+                } => {
+                    let entries: Vec<Value> = entries.iter().map(entry).collect();
+                    ok(json!({"entries": entries, "truncated": more, "ledger": revision}))
+                }
+                _ => error(500, "no page"),
+            }
+        }
+        (&Method::GET, ["store", key]) => match store.get(key) {
+            Some((data, version, permit)) => {
+                ok(json!({"key": key, "data": value(data), "stamp": version, "permit": permit}))
+            }
+            None => (404, Some(json!({"ledger": store.revision}))),
+        },
+        (&Method::POST, ["leases"]) => match serde_json::from_slice::<GrantBody>(&request.body) {
+            Ok(body) if (100..=600_000).contains(&body.life_ms) => {
+                ok(json!({"permit": store.grant(Millis(body.life_ms), now)}))
+            }
+            _ => error(400, "malformed"),
+        },
+        (method, ["leases", rest]) => {
+            let id = rest.strip_suffix("/renew").unwrap_or(rest).parse();
+            let Ok(permit) = id.map(Permit) else {
+                return error(400, "malformed");
+            };
+            match *method {
+                Method::POST if store.renew(permit, now) => ok(json!({})),
+                Method::DELETE => {
+                    store.end(permit);
+                    ok(json!({}))
+                }
+                _ => error(404, "no such lease"),
+            }
+        }
+        _ => error(404, "no such path"),
+    }
+}
+
+#[derive(Deserialize)]
+struct RentBody {
+    hire: String,
+    rig: Sku,
+    yard: Zone,
+    loaners: bool,
+    count: u32,
+}
+
+#[derive(Deserialize)]
+struct HostsBody {
+    hosts: Vec<HostId>,
+}
+
+async fn the_cloud(shared: Shared, controller: usize, request: Request) -> Reaction {
+    let cut = {
+        let region = shared.lock();
+        region.now() < region.trouble.cut[controller]
+    };
+    if cut {
+        tokio::time::sleep(SILENCE).await;
+    }
+    let region = &mut *shared.lock();
+    let now = region.now();
+    if cut || now < region.trouble.cloud {
+        return error(503, "trouble");
+    }
+    let call = match (&request.method, request.path.as_str()) {
+        (&Method::GET, "/flavors") => return ok(region.cloud.flavors()),
+        (&Method::GET, "/rentals") => CloudCall::List {
+            after: request.query.get("from").map(|h| h.as_str().into()),
+        },
+        (&Method::POST, "/rentals") => match serde_json::from_slice::<RentBody>(&request.body) {
+            Ok(body) => CloudCall::Rent {
+                hire: body.hire,
+                offer: (body.rig, body.yard, body.loaners),
+                count: body.count,
+            },
+            Err(_) => return error(400, "malformed"),
+        },
+        (&Method::POST, "/rentals/delete") => {
+            match serde_json::from_slice::<HostsBody>(&request.body) {
+                Ok(body) => CloudCall::Delete(body.hosts),
+                Err(_) => return error(400, "malformed"),
+            }
+        }
+        _ => return error(404, "no such path"),
+    };
+    let machines = &mut region.machines;
+    match region.cloud.call(call, machines, now, &mut region.rng) {
+        CloudAnswer::Rented(hosts) => ok(json!({"hosts": hosts})),
+        CloudAnswer::NoCapacity => error(503, "no capacity"),
+        CloudAnswer::Deleted => ok(json!({})),
+        CloudAnswer::Page { hosts, more } => {
+            let listed = hosts.iter().map(|m| {
+                let stage = match m.stage {
+                    Stage::Booting => "booting",
+                    Stage::Running => "running",
+                    Stage::Failed => "failed",
+                };
+                let address = region.machines.hosts.get(&m.host).map(|h| &h.address);
+                json!({"id": m.host, "address": address, "rig": m.rig, "yard": m.zone,
+                    "loaners": m.spot, "stage": stage, "ageS": m.age.secs()})
+            });
+            let listed: Vec<Value> = listed.collect();
+            ok(json!({"hosts": listed, "truncated": more}))
+        }
+        _ => error(503, "trouble"),
+    }
+}
--- /dev/null
+++ b/crates/region/src/live/users.rs
@@ -0,0 +1,145 @@
+//! Users: they upload descriptions, submit, poll and cancel, as the protocol says they do.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jaspertiller::http_client::HttpClient;
+use jaspertiller::jobs::api::{self, Stage};
+use jaspertiller::types::{JobId, Millis};
+use rand::Rng;
+use serde::Deserialize;
+use warp::http::Method;
+
+use super::Shared;
+use crate::machines::Description;
+use crate::rules::Told;
+use crate::sim::JobPlan;
+
+const SUBMIT: Duration = Duration::from_secs(5);
+const POLL: Duration = Duration::from_secs(2);
+const POLL_EVERY: Duration = Duration::from_secs(1);
+
+#[derive(Deserialize)]
+struct State {
+    stage: String,
+}
+
+fn told(status: u16, body: &[u8]) -> Told {
+    let state = || {
+        let state = serde_json::from_slice::<State>(body).ok()?;
+        Some(match state.stage.as_str() {
+            "queued" => Stage::Queued,
+            "running" => Stage::Running,
+            "done" => Stage::Done,
+            "aborted" => Stage::Aborted,
+            _ => return None,
+        })
+    };
+    match status {
+        200 | 201 => state().map_or(Told::Later, Told::State),
+        404 => Told::NotFound,
+        400 | 422 => Told::Refused(status),
+        _ => Told::Later,
+    }
+}
+
+#[derive(Clone)]
+pub struct User {
+    shared: Shared,
+    client: HttpClient,
+    controllers: Vec<SocketAddr>,
+}
+
+impl User {
+    pub fn new(shared: Shared, controllers: Vec<SocketAddr>) -> Self {
+        let client = HttpClient::new(controllers[0]);
+        Self {
+            shared,
+            client,
+            controllers,
+        }
+    }
+
+    /// Asks whichever controller accepts the connection, as behind a load balancer.
+    async fn ask(&self, method: Method, path: &str, body: Vec<u8>, limit: Duration) -> Told {
+        let first = rand::rng().random_range(0..self.controllers.len());
+        for turn in 0..self.controllers.len() {
+            let address = self.controllers[(first + turn) % self.controllers.len()];
+            let client = self.client.at(address);
+            match client.call(method.clone(), path, body.clone(), limit).await {
+                Ok((status, body)) => return told(status, &body),
+                Err(jaspertiller::http_client::Failure::NotSent) => {}
+                Err(jaspertiller::http_client::Failure::Unknown) => break,
+            }
+        }
+        Told::Later
+    }
+
+    fn note(&self, id: &JobId, told: &Told) {
+        let region = &mut *self.shared.lock();
+        let now = region.now();
+        region.rules.told(id, told, &region.machines, now);
+    }
+
+    /// Whether a controller says that it is ready.
+    pub async fn ready(&self, index: usize) -> bool {
+        let client = self.client.at(self.controllers[index]);
+        let call = client.call(Method::GET, "/ready", Vec::new(), POLL);
+        call.await.is_ok_and(|(status, _)| status == 200)
+    }
+
+    /// Nobody submitted this job: the answer must not be 200.
+    pub async fn ask_for_nothing(&self) {
+        let id = JobId::from("job-999999999999");
+        let path = format!("/api/jobs/{id}");
+        let told = self.ask(Method::GET, &path, Vec::new(), POLL).await;
+        self.note(&id, &told);
+    }
+
+    /// Lives through one job: submits it when its plan says, cancels it after a while if it is to
+    /// be cancelled, and polls until it is over.
+    pub async fn follow(self, plan: JobPlan, cancel_after: Option<Duration>) {
+        if let Some(at) = plan.at {
+            tokio::time::sleep(Duration::from_millis(at)).await;
+        }
+        let body = plan.body.to_string().into_bytes();
+        let Ok((id, spec)) = api::parse(&body) else {
+            return;
+        };
+        {
+            let region = &mut *self.shared.lock();
+            let run = Millis(plan.run_ms);
+            let description = Description { spec, run };
+            region.machines.jobs.insert(id.clone(), description);
+            let now = region.now();
+            region.rules.submit(&id, now);
+        }
+        loop {
+            let told = self
+                .ask(Method::POST, "/api/jobs", body.clone(), SUBMIT)
+                .await;
+            self.note(&id, &told);
+            match told {
+                Told::State(_) => break,
+                Told::Refused(_) => return,
+                _ => tokio::time::sleep(Duration::from_secs(1)).await,
+            }
+        }
+        let cancel_at = cancel_after.map(|after| tokio::time::Instant::now() + after);
+        let path = format!("/api/jobs/{id}");
+        loop {
+            tokio::time::sleep(POLL_EVERY).await;
+            let told = if cancel_at.is_some_and(|at| tokio::time::Instant::now() >= at) {
+                self.shared.lock().rules.wanted_aborts.insert(id.clone());
+                let path = format!("{path}/abort");
+                self.ask(Method::POST, &path, Vec::new(), SUBMIT).await
+            } else {
+                self.ask(Method::GET, &path, Vec::new(), POLL).await
+            };
+            self.note(&id, &told);
+            if matches!(told, Told::State(Stage::Done | Stage::Aborted)) {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/region/src/live/workers.rs
@@ -0,0 +1,208 @@
+//! Workers on loopback: their reports, and an address for each where orders arrive.
+
+use std::time::Duration;
+
+use jaspertiller::http_client::HttpClient;
+use jaspertiller::types::{Attempt, HostId, NodeId, Session, TaskId, Token};
+use jaspertiller::workers::wire::{Cause, Order, Report, ReportAnswer, TaskStage};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use warp::http::Method;
+
+use super::Shared;
+use super::http::{self, Reaction, Request};
+use crate::machines::Outgoing;
+
+const ANSWER: Duration = Duration::from_secs(4);
+
+#[derive(Deserialize)]
+#[serde(tag = "verb", rename_all = "snake_case")]
+enum OrderBody {
+    Start {
+        pick: String,
+        #[serde(rename = "try")]
+        attempt: Attempt,
+    },
+    Kill {
+        pick: String,
+        #[serde(rename = "try")]
+        attempt: Attempt,
+        #[serde(rename = "windDownS", default)]
+        grace_s: f64,
+    },
+    Reap {
+        pick: String,
+        #[serde(rename = "try")]
+        attempt: Attempt,
+    },
+}
+
+impl OrderBody {
+    fn order(self) -> Option<Order> {
+        Some(match self {
+            OrderBody::Start { pick, attempt } => Order::Start {
+                task: TaskId::parse(&pick)?,
+                attempt,
+            },
+            OrderBody::Kill {
+                pick,
+                attempt,
+                grace_s,
+            } => Order::Stop {
+                task: TaskId::parse(&pick)?,
+                attempt,
+                grace_s,
+            },
+            OrderBody::Reap { pick, attempt } => Order::Forget {
+                task: TaskId::parse(&pick)?,
+                attempt,
+            },
+        })
+    }
+}
+
+#[derive(Deserialize)]
+struct Orders {
+    baton: Option<Token>,
+    shift: Option<Session>,
+    #[serde(default)]
+    orders: Vec<OrderBody>,
+}
+
+#[derive(Deserialize)]
+struct Elsewhere {
+    foreman: Option<NodeId>,
+}
+
+fn stage(stage: TaskStage) -> &'static str {
+    match stage {
+        TaskStage::Fetching => "pulling",
+        TaskStage::Waiting => "gathering",
+        TaskStage::Running => "running",
+        TaskStage::Saving => "saving",
+        TaskStage::Exited => "ended",
+    }
+}
+
+fn cause(cause: Cause) -> &'static str {
+    match cause {
+        Cause::Done => "done",
+        Cause::Stopped => "stopped",
+        Cause::PeersGone => "mates_gone",
+        Cause::Alone => "alone",
+        Cause::Error => "error",
+        Cause::NoRoom => "no_room",
+        Cause::Busy => "in_use",
+        Cause::Unknown => "no_such",
+    }
+}
+
+fn body(report: &Report) -> Value {
+    let picks = report.picks.iter().map(|pick| {
+        json!({"pick": pick.pick, "try": pick.attempt, "stage": stage(pick.stage),
+            "cause": pick.cause.map(cause), "kept": pick.kept})
+    });
+    let picks: Vec<Value> = picks.collect();
+    json!({"host": report.host, "address": report.address, "rig": report.rig,
+        "yard": report.yard, "loaners": report.loaners, "shift": report.shift,
+        "tally": report.tally, "baton": report.baton, "warningS": report.warning_s,
+        "picks": picks})
+}
+
+fn orders(bodies: Vec<OrderBody>) -> Vec<Order> {
+    bodies.into_iter().filter_map(OrderBody::order).collect()
+}
+
+/// Carries one report to the controller and its answer back.
+pub async fn report(shared: Shared, client: HttpClient, out: Outgoing) {
+    let address = {
+        let region = shared.lock();
+        let now = region.now();
+        let cut = now < region.trouble.cut[out.node];
+        if cut || !region.machines.reachable(&out.host, now) {
+            return;
+        }
+        region.controllers[out.node]
+    };
+    let bytes = body(&out.report).to_string().into_bytes();
+    let client = client.at(address);
+    let call = client.call(Method::POST, "/v1/report", bytes, ANSWER);
+    let answer = match call.await {
+        Ok((200, body)) => match serde_json::from_slice::<Orders>(&body) {
+            Ok(Orders {
+                baton: Some(token),
+                orders: bodies,
+                ..
+            }) => ReportAnswer::Orders {
+                token,
+                orders: orders(bodies),
+            },
+            _ => return,
+        },
+        Ok((421, body)) => {
+            let foreman = serde_json::from_slice::<Elsewhere>(&body).ok();
+            ReportAnswer::Elsewhere(foreman.and_then(|f| f.foreman))
+        }
+        _ => ReportAnswer::Later,
+    };
+    let region = &mut *shared.lock();
+    let now = region.now();
+    if now >= region.trouble.cut[out.node] && region.machines.reachable(&out.host, now) {
+        region.machines.answered(&out, answer, now);
+    }
+}
+
+/// Every machine that is up has an address; one that is gone has none.
+pub fn keep_listeners(shared: &Shared) {
+    let region = &mut *shared.lock();
+    for (host, machine) in &mut region.machines.hosts {
+        let known = region.listeners.contains_key(host);
+        if machine.dead.is_some() {
+            if let Some(listener) = region.listeners.remove(host) {
+                listener.abort();
+            }
+        } else if !known && let Ok(listener) = http::listen() {
+            if let Ok(address) = listener.local_addr() {
+                machine.address = address.to_string();
+            }
+            let (shared, its) = (shared.clone(), host.clone());
+            let serving = http::serve(listener, move |request| {
+                worker(shared.clone(), its.clone(), request)
+            });
+            region.listeners.insert(host.clone(), tokio::spawn(serving));
+        }
+    }
+}
+
+async fn worker(shared: Shared, host: HostId, request: Request) -> Reaction {
+    let reachable = {
+        let region = shared.lock();
+        region.machines.reachable(&host, region.now())
+    };
+    if !reachable {
+        tokio::time::sleep(ANSWER).await;
+        return (503, None);
+    }
+    let region = &mut *shared.lock();
+    let now = region.now();
+    let mut status = 200;
+    match (&request.method, request.path.as_str()) {
+        (&Method::GET, "/inspect") => {}
+        (&Method::POST, "/do") => match serde_json::from_slice::<Orders>(&request.body) {
+            Ok(Orders {
+                baton: Some(token),
+                shift: Some(session),
+                orders: bodies,
+            }) => {
+                let machines = &mut region.machines;
+                if !machines.direct(&host, token, session, orders(bodies), now) {
+                    status = 409;
+                }
+            }
+            _ => status = 400,
+        },
+        _ => return (404, None),
+    }
+    let report = region.machines.report(&host);
+    (status, report.as_ref().map(body))
+}
--- /dev/null
+++ b/crates/region/src/main.rs
@@ -0,0 +1,112 @@
+//! `tiller-region`: a region on loopback to try the daemon in, and replays in virtual time.
+
+mod demo;
+mod serve;
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use tiller_region::live::faults::Kind;
+
+/// A region of stand-ins on loopback, round real controllers.
+#[derive(Parser)]
+#[command(version, about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Start a region and three controllers, run a mixed set of jobs, and say what came of it
+    Demo {
+        /// Luck: of arrival times, boots and fetches
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Faults to strike meanwhile (INI); without, one controller is killed
+        #[arg(long, value_name = "FILE")]
+        plan: Option<PathBuf>,
+    },
+    /// Keep a region and its controllers up until Ctrl-C
+    Serve {
+        /// What the region is made of (INI)
+        #[arg(long, value_name = "FILE")]
+        config: Option<PathBuf>,
+        /// The controllers' operator settings (INI)
+        #[arg(long, value_name = "FILE")]
+        operator: Option<PathBuf>,
+        /// Faults to strike meanwhile (INI)
+        #[arg(long, value_name = "FILE")]
+        plan: Option<PathBuf>,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Ask a region that is served for a fault
+    Fault {
+        /// The address that `serve` printed
+        #[arg(long)]
+        region: SocketAddr,
+        #[arg(value_enum)]
+        kind: Kind,
+        /// The controller (n0) or machine (vm-000001)
+        #[arg(default_value = "")]
+        target: String,
+        /// Seconds
+        #[arg(long, default_value_t = 10.0)]
+        for_s: f64,
+    },
+    /// Run the daemon's own command line: what the region starts its controllers with
+    #[command(disable_help_flag = true)]
+    Controller {
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        args: Vec<OsString>,
+    },
+}
+
+/// Exit status for files that can't be used.
+const BAD_SETTINGS: u8 = 2;
+
+fn main() -> ExitCode {
+    let command = Cli::parse().command;
+    if let Command::Controller { args } = command {
+        let name = OsString::from("jaspertiller");
+        return jaspertiller::cli::run(std::iter::once(name).chain(args));
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("tiller-region: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let ended = runtime.block_on(async {
+        match command {
+            Command::Demo { seed, plan } => demo::run(seed, plan.as_deref()).await,
+            Command::Serve {
+                config,
+                operator,
+                plan,
+                seed,
+            } => serve::run(config, operator, plan, seed).await,
+            Command::Fault {
+                region,
+                kind,
+                target,
+                for_s,
+            } => serve::ask(region, kind, target, for_s).await,
+            Command::Controller { .. } => Ok(ExitCode::SUCCESS),
+        }
+    });
+    ended.unwrap_or_else(|error| {
+        eprintln!("tiller-region: {error:#}");
+        let settings = error.is::<tiller_region::config::ConfigError>()
+            || error.is::<jaspertiller::settings::SettingsError>();
+        ExitCode::from(if settings { BAD_SETTINGS } else { 1 })
+    })
+}
--- a/crates/region/src/rules.rs
+++ b/crates/region/src/rules.rs
@@ -71,7 +71,9 @@
     pub done: HashSet<JobId>,
     pub aborted: HashMap<JobId, Millis>,
     pub wanted_aborts: HashSet<JobId>,
-    pub submitted: HashSet<JobId>,
+    /// When each job was first submitted, and when its first task came on a machine.
+    pub submitted: HashMap<JobId, Millis>,
+    pub first_start: HashMap<JobId, Millis>,
     /// When a poll of each was last answered, and any poll.
     polled: HashMap<JobId, Millis>,
     answered: Millis,
@@ -95,6 +97,10 @@
         }
     }
 
+    pub fn submit(&mut self, id: &JobId, now: Millis) {
+        self.submitted.entry(id.clone()).or_insert(now);
+    }
+
     /// What the answer to a submission, poll or cancellation says.
     pub fn told(&mut self, id: &JobId, told: &Told, machines: &Machines, now: Millis) {
         match told {
@@ -121,7 +127,7 @@
     }
 
     fn state(&mut self, id: &JobId, stage: Stage, machines: &Machines, now: Millis) {
-        if !self.submitted.contains(id) {
+        if !self.submitted.contains_key(id) {
             return self.broken("invented", id);
         }
         self.accepted.insert(id.clone());
@@ -178,6 +184,8 @@
             }
         }
         for (host, task) in started {
+            let first = self.first_start.entry(task.job.clone());
+            first.or_insert(now);
             let on = where_is.get(task).map_or(&[][..], Vec::as_slice);
             if let Some(other) = on.iter().find(|other| **other != host) {
                 let at = now.0;
--- a/crates/region/src/sim.rs
+++ b/crates/region/src/sim.rs
@@ -298,7 +298,7 @@
                     let spec = spec.clone();
                     let jobs = &mut self.machines.jobs;
                     jobs.entry(id.clone()).or_insert(Description { spec, run });
-                    self.rules.submitted.insert(id.clone());
+                    self.rules.submit(id, Millis(self.now));
                 }
                 let id = self.jobs[index].id();
                 let reply = self.owe(Owed::User(id.clone()));
