Holders give freed room to work within its share first; a replay of contention

Cause, by replaying three levels and eight teams second by second: a holder sees freed room seconds before others do, but had only the jobs in its queue that were handed to it, so work beyond its share took the room and was stopped again. It now takes up the foremost job of each team that is within its share. A task larger than its team's share lets others give up what is missing.

--- a/crates/quota/src/shares.rs
+++ b/crates/quota/src/shares.rs
@@ -194,13 +194,14 @@
         self.has_room(leaf, used, wanted)
     }
 
-    /// Whether a node stays nearer to its share, or above it, without a task.
-    fn spares(&self, ix: NodeIx, used: Amount, task: Amount) -> bool {
+    /// Whether a node stays nearer to its share, or above it, without a task; less `gives`, which
+    /// it has to give up for a task that is larger than the share of its owner.
+    fn spares(&self, ix: NodeIx, used: Amount, task: Amount, gives: Amount) -> bool {
         let entitled = self.entitled(ix).each();
-        let (used, task) = (used.each(), task.each());
+        let (used, task, gives) = (used.each(), task.each(), gives.each());
         self.each(ix).filter(|r| task[*r] > 0.0).any(|r| {
             let only = used[r] <= task[r] + SLACK && entitled[r] > SLACK;
-            !only && used[r] - task[r] / 2.0 > entitled[r] + SLACK
+            !only && used[r] - task[r] / 2.0 + gives[r] > entitled[r] + SLACK
         })
     }
 
@@ -215,13 +216,18 @@
         wanted: Wanted,
         used: impl Fn(NodeIx) -> Amount,
     ) -> bool {
-        if !self.spares(from, used(from), task) {
+        let gives = if used(by).is_zero() && wanted.total == wanted.task {
+            wanted.task.minus(self.entitled(by))
+        } else {
+            Amount::ZERO
+        };
+        if !self.spares(from, used(from), task, gives) {
             return false;
         }
         match self.tree.parting(by, from) {
             Some((mine, its)) => {
                 self.has_room(mine, used(mine), wanted)
-                    && (its == from || self.spares(its, used(its), task))
+                    && (its == from || self.spares(its, used(its), task, gives))
             }
             None => false,
         }
--- a/crates/region/src/lib.rs
+++ b/crates/region/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod cloud;
 pub mod config;
+pub mod contention;
 pub mod live;
 pub mod machines;
 pub mod rules;
--- a/crates/region/src/machines.rs
+++ b/crates/region/src/machines.rs
@@ -131,6 +131,8 @@
     rng: SmallRng,
     /// How long any fetch takes, instead of by size and rate.
     pub fetch: Option<std::ops::Range<u64>>,
+    /// Tasks of an array run up to this part shorter or longer than their job says.
+    pub spread: f64,
     /// A guard that a test takes out: workers keep their tasks when their lease is over.
     pub keep_past_lease: bool,
     /// Attempts of gangs that ended because a task of theirs was gone.
@@ -152,6 +154,7 @@
             nodes: config.controllers,
             rng: SmallRng::seed_from_u64(seed),
             fetch: None,
+            spread: 0.0,
             keep_past_lease: false,
             broken_gangs: 0,
             lost: Millis(0),
@@ -205,20 +208,34 @@
         now > machine.lease_from + self.timing.lease && !self.keep_past_lease
     }
 
-    /// Every task that is on a machine now.
-    pub fn present(&self, now: Millis) -> impl Iterator<Item = (&HostId, &TaskId)> {
+    /// Every task that a machine has now, in whatever state.
+    fn tasks(&self, now: Millis) -> impl Iterator<Item = (&HostId, &TaskId, &Task)> {
         let alive = move |m: &&Machine| m.dead.is_none() && !self.lease_over(m, now);
         let hosts = self.hosts.iter().filter(move |(_, m)| alive(m));
         hosts.flat_map(|(host, machine)| {
-            let tasks = machine.tasks.iter().filter(|(_, task)| task.on_machine());
-            tasks.map(move |(id, _)| (host, id))
+            let tasks = machine.tasks.iter();
+            tasks.map(move |(id, task)| (host, id, task))
         })
     }
 
+    /// Every task that is on a machine now.
+    pub fn present(&self, now: Millis) -> impl Iterator<Item = (&HostId, &TaskId)> {
+        let tasks = self.tasks(now).filter(|(.., task)| task.on_machine());
+        tasks.map(|(host, id, _)| (host, id))
+    }
+
+    /// Every task that holds room on a machine now: those that fetch their image, too.
+    pub fn holding(&self, now: Millis) -> impl Iterator<Item = &TaskId> {
+        let tasks = self.tasks(now);
+        let alive = tasks.filter(|(.., task)| task.stage != TaskStage::Exited);
+        alive.map(|(_, id, _)| id)
+    }
+
     /// Lets time pass; returns the tasks that came on a machine, and reports to be carried.
     pub fn step(&mut self, now: Millis) -> (Vec<(HostId, TaskId)>, Vec<Outgoing>) {
         let (mut started, mut reports) = (Vec::new(), Vec::new());
         let (timing, nodes, keep) = (self.timing, self.nodes, self.keep_past_lease);
+        let spread = self.spread;
         for (host, machine) in &mut self.hosts {
             let idle = machine.dead.is_some() || now < machine.up_at;
             if idle || now < machine.hung_until {
@@ -252,7 +269,11 @@
                             continue;
                         }
                         let saved = self.progress.get(id).copied().unwrap_or_default();
-                        let run = if done { Millis(0) } else { job.run - saved };
+                        let luck = f64::from(id.index.wrapping_mul(2_654_435_761) >> 8)
+                            / f64::from(1u32 << 23)
+                            - 1.0;
+                        let takes = Millis((job.run.0 as f64 * (1.0 + spread * luck)) as u64);
+                        let run = if done { Millis(0) } else { takes - saved };
                         let service = job.spec.shape == Shape::Service;
                         task.stage = TaskStage::Running;
                         task.began = now;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -360,6 +360,8 @@
     tree_standing: Standing,
     writing_tree: bool,
     excess_looked: Millis,
+    /// With a tree: each team's first job that waits.
+    foremost: Vec<JobId>,
     /// Transactions under way that write shares.
     dealing: u32,
     dealt: Millis,
@@ -452,6 +454,7 @@
             tree_standing: Standing::None,
             writing_tree: false,
             excess_looked: Millis(0),
+            foremost: Vec::new(),
             dealing: 0,
             dealt: Millis(0),
             voided: Millis(0),
--- a/src/controller/nested.rs
+++ b/src/controller/nested.rs
@@ -1,7 +1,7 @@
 //! Nested quotas in the controller: the tree's way into force, work within its share, and whose
 //! work gives way.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use tiller_quota::Wanted;
 
@@ -9,7 +9,7 @@
 use crate::jobs::cache::{Change, Job};
 use crate::jobs::{Rank, Shape};
 use crate::preempt::Offer;
-use crate::queue::{Check, Event};
+use crate::queue::{Check, Event, Order};
 use crate::quota;
 use crate::quota::nested::{HEAD, Owed, Standing};
 use crate::quota::reclaim::{Ledger, steps_over};
@@ -45,6 +45,7 @@
                 waits && self.jobs.get(id).is_some_and(|job| self.guaranteed(job))
             });
             self.queue = queue;
+            self.foremost = self.foremost_jobs();
             for team in raised {
                 self.wake(Event::Entitled(team));
             }
@@ -179,6 +180,50 @@
         self.nested.force().is_some() && !gang
     }
 
+    /// Each team's first job that waits.
+    fn foremost_jobs(&self) -> Vec<JobId> {
+        let mut first: BTreeMap<&Team, (Order, &JobId)> = BTreeMap::new();
+        for job in self.jobs.iter() {
+            let waits = job.active() && job.waiting() > 0 && !job.whole_gang();
+            if !waits || !self.in_tree(&job.spec.team) {
+                continue;
+            }
+            let its = (self.order(job), &job.id);
+            let best = first.entry(&job.spec.team).or_insert(its);
+            *best = its.min(*best);
+        }
+        first.into_values().map(|(_, id)| id.clone()).collect()
+    }
+
+    /// Room came free on a machine. Whoever holds it sees that first, and takes up work that is
+    /// within its share: other controllers learn of the room seconds later, and by then work beyond
+    /// its share would have it.
+    pub(super) fn take_due(&mut self, host: &HostId) {
+        let Some(machine) = self.machines.get(host).filter(|m| self.ours(m)) else {
+            return;
+        };
+        let mut free = self.free(machine);
+        let jobs = self.foremost.iter().filter_map(|id| self.jobs.get(id));
+        let mut due: Vec<(Order, &Job)> = jobs
+            .filter(|job| job.waiting() > 0 && job.spec.room.fits_in(free))
+            .filter(|job| job.spec.allows(&machine.rig, &machine.zone, machine.spot))
+            .filter(|job| self.guaranteed(job))
+            .map(|job| (self.order(job), job))
+            .collect();
+        due.sort_by_key(|(order, job)| (*order, job.id.clone()));
+        let mut taken = Vec::new();
+        for (order, job) in due {
+            if job.spec.room.fits_in(free) {
+                free = free.minus(job.spec.room);
+                taken.push((order, job.id.clone()));
+            }
+        }
+        for (order, id) in taken {
+            self.handed.insert(id.clone());
+            self.queue.activate(&id, order);
+        }
+    }
+
     /// How long room that is made for a job is kept for it.
     pub(super) fn kept_for(&self, id: &JobId, offers: &[Offer]) -> Option<Millis> {
         let victims = offers.iter().flat_map(|offer| &offer.victims);
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -813,6 +813,9 @@
 
     /// Tells the parked jobs of a change in the cluster.
     pub(super) fn wake(&mut self, event: Event) {
+        if let Event::Freed(host) = &event {
+            self.take_due(host);
+        }
         let machine = match &event {
             Event::Machine(host) | Event::Freed(host) => self.machines.get(host),
             _ => None,
