--- a/crates/quota/src/shares.rs
+++ b/crates/quota/src/shares.rs
@@ -63,6 +63,17 @@
         &self.tree
     }
 
+    /// Bytes that the tree and its shares take, names included, about.
+    pub fn bytes(&self) -> usize {
+        let node = size_of::<State>() + size_of::<crate::tree::Node>() + size_of::<[bool; 2]>();
+        let names = self.tree.nodes.iter().map(|node| {
+            // A team's name is kept twice: in its node and in the index of leaves.
+            let team = node.team.as_ref().map_or(0, |team| 2 * team.len() + 40);
+            node.name.len() + team + node.children.len() * size_of::<NodeIx>()
+        });
+        self.nodes.len() * node + names.sum::<usize>()
+    }
+
     pub fn entitled(&self, ix: NodeIx) -> Amount {
         self.nodes[ix.at()].entitled
     }
--- a/crates/region/src/main.rs
+++ b/crates/region/src/main.rs
@@ -1,6 +1,7 @@
 //! `tiller-region`: a region on loopback to try the daemon in, and replays in virtual time.
 
 mod demo;
+mod report;
 mod serve;
 
 use std::ffi::OsString;
@@ -58,6 +59,15 @@
         #[arg(long, default_value_t = 10.0)]
         for_s: f64,
     },
+    /// Replay contention under nested quotas in virtual time, and under flat ones beside it
+    Contention {
+        /// How many seeds of each
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=100))]
+        seeds: u64,
+        /// Writes a page with plots of every level's share (HTML, needs no network)
+        #[arg(long, value_name = "FILE")]
+        report: Option<PathBuf>,
+    },
     /// Run the daemon's own command line: what the region starts its controllers with
     #[command(disable_help_flag = true)]
     Controller {
@@ -100,6 +110,7 @@
                 target,
                 for_s,
             } => serve::ask(region, kind, target, for_s).await,
+            Command::Contention { seeds, report } => report::run(seeds, report.as_deref()),
             Command::Controller { .. } => Ok(ExitCode::SUCCESS),
         }
     });
--- a/src/controller/nested.rs
+++ b/src/controller/nested.rs
@@ -11,7 +11,7 @@
 use crate::preempt::Offer;
 use crate::queue::{Check, Event, Order};
 use crate::quota;
-use crate::quota::nested::{HEAD, Owed, Standing};
+use crate::quota::nested::{Force, HEAD, Owed, Standing};
 use crate::quota::reclaim::{Ledger, steps_over};
 use crate::settings::TeamSettings;
 use crate::store::{Answer, Class, Txn};
@@ -116,18 +116,19 @@
     /// Whether a job's next task, or all of a gang's, is within what its team is guaranteed: by the
     /// platform, or by the tree and what it lends.
     pub(super) fn guaranteed(&self, job: &Job) -> bool {
-        let wanted = self.wanted(job);
-        let used = self.jobs.usage(&job.spec.team);
-        let standing = self.jobs.standing(&job.spec.team);
-        let team = self.settings.team(&job.spec.team);
-        team.is_some_and(|team| quota::guaranteed(used.plus(wanted), team))
-            || self.nested.force().is_some_and(|force| {
-                let leaf = force.leaf(&job.spec.team);
-                leaf.is_some_and(|leaf| {
-                    let wanted = amounts(wanted, job);
-                    force.shares.within(leaf, standing.into(), wanted)
-                })
+        let (wanted, name) = (self.wanted(job), &job.spec.team);
+        let flat = self
+            .settings
+            .team(name)
+            .is_some_and(|team| quota::guaranteed(self.jobs.usage(name).plus(wanted), team));
+        let nested = |force: &Force| {
+            let leaf = force.leaf(name);
+            leaf.is_some_and(|leaf| {
+                let used = self.jobs.standing(name).into();
+                force.shares.within(leaf, used, amounts(wanted, job))
             })
+        };
+        flat || self.nested.force().is_some_and(nested)
     }
 
     /// What is to be placed at once.
@@ -199,6 +200,9 @@
     /// within its share: other controllers learn of the room seconds later, and by then work beyond
     /// its share would have it.
     pub(super) fn take_due(&mut self, host: &HostId) {
+        if self.foremost.is_empty() {
+            return;
+        }
         let Some(machine) = self.machines.get(host).filter(|m| self.ours(m)) else {
             return;
         };
--- a/src/jobs/cache.rs
+++ b/src/jobs/cache.rs
@@ -346,6 +346,13 @@
     }
 }
 
+/// The same for what has left: only a tree of quotas asks for it.
+fn left(sums: &mut HashMap<Team, Room>, groups: &Groups, team: &Team, room: Room) {
+    if !groups.is_empty() {
+        count(sums, groups, team, room);
+    }
+}
+
 #[derive(Default)]
 pub struct Jobs {
     jobs: HashMap<JobId, Job>,
@@ -662,7 +669,7 @@
             count(&mut self.usage, &self.groups, &job.spec.team, change);
         }
         if returned != Room::default() {
-            count(&mut self.left_by, &self.groups, &job.spec.team, returned);
+            left(&mut self.left_by, &self.groups, &job.spec.team, returned);
         }
         touched
     }
@@ -681,12 +688,8 @@
             count(&mut self.reserved_by, groups, &spec.team, spec.room);
         } else if let Some(host) = job.task(index).placement().map(|p| p.host.clone()) {
             vacate(&mut self.uses, &host, &job.spec, true);
-            count(
-                &mut self.left_by,
-                &self.groups,
-                &job.spec.team,
-                job.spec.room,
-            );
+            let (team, room) = (&job.spec.team, job.spec.room);
+            left(&mut self.left_by, &self.groups, team, room);
             job.left.insert(index, host);
         }
         job.changes.insert(index, change);
@@ -703,7 +706,7 @@
             if let Some(host) = job.left.remove(index) {
                 occupy(&mut self.uses, &host, &job.spec, true);
                 let less = Room::default().minus(job.spec.room);
-                count(&mut self.left_by, &self.groups, &job.spec.team, less);
+                left(&mut self.left_by, &self.groups, &job.spec.team, less);
             }
             if let Some(Change::Place(placement)) = change {
                 vacate(&mut self.uses, &placement.host, &job.spec, false);
