tiller-region serve: users upload their jobs, controllers end with the region

A job that was submitted by hand never ran: the workers of the region had nobody to fetch its description from. POST /jobs on the region's address takes it. Controllers outlived a region that was ended by a signal; they now end when the pipe to it closes.

--- a/crates/region/src/live/controllers.rs
+++ b/crates/region/src/live/controllers.rs
@@ -70,8 +70,9 @@
         if let Some(operator) = &self.operator {
             command.arg("--operator").arg(operator);
         }
+        // It ends when this end of the pipe is gone, however this program ends.
         command
-            .stdin(Stdio::null())
+            .stdin(Stdio::piped())
             .stdout(Stdio::null())
             .stderr(log);
         self.children[index] = Some(command.spawn().context("a controller can't be started")?);
--- a/crates/region/src/main.rs
+++ b/crates/region/src/main.rs
@@ -82,6 +82,11 @@
 fn main() -> ExitCode {
     let command = Cli::parse().command;
     if let Command::Controller { args } = command {
+        // The region holds the other end: a controller does not outlive it.
+        std::thread::spawn(|| {
+            let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+            std::process::exit(1);
+        });
         let name = OsString::from("jaspertiller");
         return jaspertiller::cli::run(std::iter::once(name).chain(args));
     }
--- a/crates/region/src/serve.rs
+++ b/crates/region/src/serve.rs
@@ -11,6 +11,7 @@
 use tiller_region::live::control;
 use tiller_region::live::controllers::Controllers;
 use tiller_region::live::faults::{Fault, Kind, read_plan};
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::Instant;
 
 use crate::demo::Faults;
@@ -30,9 +31,9 @@
     // Settings that the controllers would refuse are refused here, where it is seen.
     jaspertiller::settings::Settings::read(&controllers.settings(0), operator.as_deref())?;
     tokio::spawn(shared.clone().run());
-    let (address, mut asked) = control::serve()?;
+    let (address, mut asked) = control::serve(&shared)?;
     controllers.start_all()?;
-    println!("faults       {address}");
+    println!("region       http://{address}");
     for (index, address) in controllers.addresses.iter().enumerate() {
         println!("controller   n{index} http://{address}");
     }
@@ -41,9 +42,11 @@
     let began = Instant::now();
     let mut ticks = tokio::time::interval(Duration::from_millis(200));
     let mut stop = std::pin::pin!(tokio::signal::ctrl_c());
+    let mut term = signal(SignalKind::terminate())?;
     loop {
         tokio::select! {
             _ = &mut stop => break,
+            _ = term.recv() => break,
             _ = ticks.tick() => faults.strike(&shared, &mut controllers, began.elapsed())?,
             Some((fault, reply)) = asked.recv() => {
                 let outcome = faults.one(&fault, &shared, &mut controllers, began.elapsed());
