--- a/crates/region/src/config.rs
+++ b/crates/region/src/config.rs
@@ -4,19 +4,10 @@
 use std::path::Path;
 
 use ini::Ini;
-use jaspertiller::settings::TeamSettings;
+use jaspertiller::settings::{SettingsError, TeamSettings, problem, read_file};
 use jaspertiller::types::{Millis, Room, Sku, Zone};
 use serde_json::{Value, json};
 
-/// A region file that can't be used: which file, which field, and why.
-#[derive(Debug, thiserror::Error)]
-#[error("{file}: {field}: {reason}")]
-pub struct ConfigError {
-    pub file: String,
-    pub field: String,
-    pub reason: String,
-}
-
 #[derive(Clone, Debug)]
 pub struct Config {
     pub controllers: usize,
@@ -147,23 +138,15 @@
 ];
 
 impl Config {
-    pub fn read(path: &Path) -> Result<Self, ConfigError> {
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
         let file = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|e| ConfigError {
-            file: file.clone(),
-            field: "file".into(),
-            reason: e.to_string(),
-        })?;
+        let text = read_file(path)?;
         Self::parse(&file, &text)
     }
 
     /// Reads `[region]`, `[machines]`, `[workers]`, `[state]`, and a `[team NAME]` for each team.
-    pub fn parse(file: &str, text: &str) -> Result<Self, ConfigError> {
-        let problem = |field: &str, reason: String| ConfigError {
-            file: file.into(),
-            field: field.into(),
-            reason,
-        };
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
+        let problem = |field: &str, reason: String| problem(file, field, reason);
         let ini = Ini::load_from_str(text).map_err(|e| problem("file", e.to_string()))?;
         let mut config = Self::default();
         if ini
--- a/crates/region/src/live/faults.rs
+++ b/crates/region/src/live/faults.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use ini::Ini;
+use jaspertiller::settings::{SettingsError, problem, read_file};
 use jaspertiller::types::{HostId, Millis};
 use serde::{Deserialize, Serialize};
 
 use super::Shared;
 use super::controllers::Controllers;
-use crate::config::ConfigError;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, clap::ValueEnum)]
 #[serde(rename_all = "snake_case")]
@@ -94,22 +94,14 @@
 pub type Plan = Vec<(Millis, Fault)>;
 
 /// Reads a plan: a `[fault NAME]` each, with `at_s`, `kind`, `target` and `for_s`.
-pub fn read_plan(path: &Path, controllers: usize) -> Result<Plan, ConfigError> {
+pub fn read_plan(path: &Path, controllers: usize) -> Result<Plan, SettingsError> {
     let file = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|e| ConfigError {
-        file: file.clone(),
-        field: "file".into(),
-        reason: e.to_string(),
-    })?;
+    let text = read_file(path)?;
     parse_plan(&file, &text, controllers)
 }
 
-fn parse_plan(file: &str, text: &str, controllers: usize) -> Result<Plan, ConfigError> {
-    let problem = |field: &str, reason: String| ConfigError {
-        file: file.into(),
-        field: field.into(),
-        reason,
-    };
+fn parse_plan(file: &str, text: &str, controllers: usize) -> Result<Plan, SettingsError> {
+    let problem = |field: &str, reason: String| problem(file, field, reason);
     let ini = Ini::load_from_str(text).map_err(|e| problem("file", e.to_string()))?;
     let mut plan = Plan::new();
     for (section, entries) in ini.iter() {
--- a/crates/region/src/live/workers.rs
+++ b/crates/region/src/live/workers.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use jaspertiller::http_client::HttpClient;
-use jaspertiller::types::{Attempt, HostId, NodeId, Session, TaskId, Token};
-use jaspertiller::workers::wire::{Cause, Order, Report, ReportAnswer, TaskStage};
+use jaspertiller::types::{HostId, NodeId, Session, Token};
+use jaspertiller::workers::wire::{Cause, Order, OrderBody, Report, ReportAnswer, TaskStage};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use warp::http::Method;
@@ -15,52 +15,6 @@
 
 const ANSWER: Duration = Duration::from_secs(4);
 
-#[derive(Deserialize)]
-#[serde(tag = "verb", rename_all = "snake_case")]
-enum OrderBody {
-    Start {
-        pick: String,
-        #[serde(rename = "try")]
-        attempt: Attempt,
-    },
-    Kill {
-        pick: String,
-        #[serde(rename = "try")]
-        attempt: Attempt,
-        #[serde(rename = "windDownS", default)]
-        grace_s: f64,
-    },
-    Reap {
-        pick: String,
-        #[serde(rename = "try")]
-        attempt: Attempt,
-    },
-}
-
-impl OrderBody {
-    fn order(self) -> Option<Order> {
-        Some(match self {
-            OrderBody::Start { pick, attempt } => Order::Start {
-                task: TaskId::parse(&pick)?,
-                attempt,
-            },
-            OrderBody::Kill {
-                pick,
-                attempt,
-                grace_s,
-            } => Order::Stop {
-                task: TaskId::parse(&pick)?,
-                attempt,
-                grace_s,
-            },
-            OrderBody::Reap { pick, attempt } => Order::Forget {
-                task: TaskId::parse(&pick)?,
-                attempt,
-            },
-        })
-    }
-}
-
 #[derive(Deserialize)]
 struct Orders {
     baton: Option<Token>,
@@ -109,8 +63,8 @@
         "picks": picks})
 }
 
-fn orders(bodies: Vec<OrderBody>) -> Vec<Order> {
-    bodies.into_iter().filter_map(OrderBody::order).collect()
+fn orders(bodies: &[OrderBody]) -> Vec<Order> {
+    bodies.iter().filter_map(OrderBody::order).collect()
 }
 
 /// Carries one report to the controller and its answer back.
@@ -135,7 +89,7 @@
                 ..
             }) => ReportAnswer::Orders {
                 token,
-                orders: orders(bodies),
+                orders: orders(&bodies),
             },
             _ => return,
         },
@@ -195,7 +149,7 @@
                 orders: bodies,
             }) => {
                 let machines = &mut region.machines;
-                if !machines.direct(&host, token, session, orders(bodies), now) {
+                if !machines.direct(&host, token, session, orders(&bodies), now) {
                     status = 409;
                 }
             }
--- a/crates/region/src/main.rs
+++ b/crates/region/src/main.rs
@@ -121,8 +121,7 @@
     });
     ended.unwrap_or_else(|error| {
         eprintln!("tiller-region: {error:#}");
-        let settings = error.is::<tiller_region::config::ConfigError>()
-            || error.is::<jaspertiller::settings::SettingsError>();
+        let settings = error.is::<jaspertiller::settings::SettingsError>();
         ExitCode::from(if settings { BAD_SETTINGS } else { 1 })
     })
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -26,7 +26,7 @@
     }
 }
 
-fn problem(file: &str, field: &str, reason: impl ToString) -> SettingsError {
+pub fn problem(file: &str, field: &str, reason: impl ToString) -> SettingsError {
     SettingsError {
         file: file.into(),
         field: field.into(),
@@ -34,6 +34,12 @@
     }
 }
 
+/// The text of a file that a setting names.
+pub fn read_file(path: &Path) -> Result<String, SettingsError> {
+    let unreadable = |error| problem(&path.display().to_string(), "file", error);
+    std::fs::read_to_string(path).map_err(unreadable)
+}
+
 #[derive(Clone, Debug, Deserialize)]
 pub struct Settings {
     pub label: NodeId,
@@ -194,7 +200,7 @@
 impl Operator {
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
         let file = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|e| problem(&file, "file", e))?;
+        let text = read_file(path)?;
         let mut operator = Self::parse(&file, &text)?;
         // It lies beside this file, unless its path says otherwise.
         let beside = |tree| path.parent().unwrap_or(Path::new("")).join(tree);
@@ -250,14 +256,14 @@
 impl Settings {
     pub fn read(config: &Path, operator: Option<&Path>) -> Result<Self, SettingsError> {
         let file = config.display().to_string();
-        let text = std::fs::read_to_string(config).map_err(|e| problem(&file, "file", e))?;
+        let text = read_file(config)?;
         let mut settings = Self::parse(&file, &text)?;
         if let Some(path) = operator {
             settings.operator = Operator::read(path)?;
         }
         if let Some(path) = &settings.operator.tree {
             let file = path.display().to_string();
-            let text = std::fs::read_to_string(path).map_err(|e| problem(&file, "file", e))?;
+            let text = read_file(path)?;
             settings.take_tree(&file, &text)?;
         }
         Ok(settings)
--- a/src/workers/wire.rs
+++ b/src/workers/wire.rs
@@ -82,9 +82,10 @@
     },
 }
 
-#[derive(Serialize)]
+/// An order as it is written.
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "verb", rename_all = "snake_case")]
-enum OrderBody {
+pub enum OrderBody {
     Start {
         pick: String,
         #[serde(rename = "try")]
@@ -94,7 +95,7 @@
         pick: String,
         #[serde(rename = "try")]
         attempt: Attempt,
-        #[serde(rename = "windDownS")]
+        #[serde(rename = "windDownS", default)]
         grace_s: f64,
     },
     Reap {
@@ -129,6 +130,25 @@
     }
 }
 
+impl OrderBody {
+    /// The order that is written so, if it names a task.
+    pub fn order(&self) -> Option<Order> {
+        let (OrderBody::Start { pick, attempt }
+        | OrderBody::Kill { pick, attempt, .. }
+        | OrderBody::Reap { pick, attempt }) = self;
+        let (task, attempt) = (TaskId::parse(pick)?, *attempt);
+        Some(match *self {
+            OrderBody::Start { .. } => Order::Start { task, attempt },
+            OrderBody::Kill { grace_s, .. } => Order::Stop {
+                task,
+                attempt,
+                grace_s,
+            },
+            OrderBody::Reap { .. } => Order::Forget { task, attempt },
+        })
+    }
+}
+
 /// The answer to a report.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ReportAnswer {
@@ -173,6 +193,8 @@
         ];
         for (order, text) in cases {
             assert_eq!(serde_json::to_string(&order).unwrap(), text);
+            let body: OrderBody = serde_json::from_str(text).unwrap();
+            assert_eq!(body.order(), Some(order));
         }
     }
 
