The tree's hash is of what it says, not of how the state service writes it

Seen by trying it in a served region: the state service keeps JSON and gave the tree's pages back with their keys in another order; all controllers but the writer refused them, and with the tree's version as a condition nothing was placed any more. The hash is now taken of the nodes in one way of writing.

--- a/crates/region/src/state.rs
+++ b/crates/region/src/state.rs
@@ -68,6 +68,12 @@
     pub ignore_conditions: bool,
 }
 
+/// Values are JSON, not text: what comes back may be written in another way than what was put.
+fn rewritten(data: String) -> String {
+    let value = serde_json::from_str::<serde_json::Value>(&data);
+    value.map(|value| value.to_string()).unwrap_or(data)
+}
+
 fn raw(data: &str) -> Box<RawValue> {
     RawValue::from_string(data.to_string()).unwrap_or_else(|_| RawValue::NULL.to_owned())
 }
@@ -301,6 +307,7 @@
         for change in txn.changes {
             match change {
                 Change::Put { key, data, permit } => {
+                    let data = rewritten(data);
                     self.note(key.clone(), Some(data.clone()));
                     let value = Value {
                         data,
--- a/src/quota/nested.rs
+++ b/src/quota/nested.rs
@@ -76,10 +76,12 @@
     pages: Vec<String>,
 }
 
-fn hash_of<'a>(pages: impl Iterator<Item = &'a str>) -> String {
+/// Of what the nodes say, in one way of writing it: the state service keeps JSON, not text, and may
+/// give it back written in another.
+fn hash_of(nodes: &[NodeSpec]) -> String {
     let mut hash = Sha256::new();
-    for page in pages {
-        hash.update(page.as_bytes());
+    for node in nodes {
+        hash.update(serde_json::to_vec(node).unwrap_or_default());
         hash.update([0]);
     }
     let bytes = hash.finalize();
@@ -106,7 +108,7 @@
     pages.push(page + "]");
     let head = Head {
         revision: spec.revision,
-        hash: hash_of(pages.iter().map(String::as_str)),
+        hash: hash_of(&spec.nodes),
         pages: pages.len() as u32,
         hold_ms: (spec.hold_s * 1e3) as u64,
         enabled: spec.enabled,
@@ -243,9 +245,10 @@
         else {
             return Owed::Nothing;
         };
-        let missing = |(page, text): &(u32, &String)| {
-            let known = self.pages.get(&file.head.page_key(*page));
-            known.is_none_or(|(known, _)| known != *text)
+        // Revision and hash in its key say what a page holds.
+        let missing = |(page, _): &(u32, &String)| {
+            let key = file.head.page_key(*page);
+            !self.pages.contains_key(&key)
         };
         let pages: Vec<(String, String)> = (0..)
             .zip(&file.pages)
@@ -371,15 +374,15 @@
     if !head.enabled {
         return Ok(None);
     }
-    if hash_of(texts.iter().copied()) != head.hash {
-        return Err(problem("the pages are not those that were written"));
-    }
     let mut nodes: Vec<NodeSpec> = Vec::new();
     for text in texts {
         let page: Vec<NodeSpec> =
             serde_json::from_str(text).map_err(|error| problem(&error.to_string()))?;
         nodes.extend(page);
     }
+    if hash_of(&nodes) != head.hash {
+        return Err(problem("the pages are not those that were written"));
+    }
     let spec = TreeSpec {
         revision: head.revision,
         hold_s: head.hold_ms as f64 / 1e3,
@@ -534,6 +537,24 @@
         assert_eq!(has_none.leftovers().count(), first - 1);
     }
 
+    /// Other controllers could not make sense of pages that came back with their keys in another
+    /// order, and placed nothing any more.
+    #[test]
+    fn pages_that_come_back_written_in_another_way_are_the_same() {
+        let file = spec(4, 8);
+        let (mut writer, mut reader) = (nested(Some(&file)), nested(None));
+        write(&mut writer, &mut [], &mut 10);
+        for (key, (text, version)) in writer.pages.clone() {
+            let value: serde_json::Value = serde_json::from_str(&text).unwrap();
+            let other = serde_json::to_string_pretty(&value).unwrap();
+            assert_ne!(text, other);
+            reader.feed(&key, Some(&other), version);
+        }
+        let head = serde_json::to_string_pretty(writer.head.as_ref().unwrap()).unwrap();
+        assert!(reader.feed(HEAD, Some(&head), writer.head_version));
+        assert!(reader.settled());
+    }
+
     /// A list brings the head before its pages. What was decided by the tree before must not be
     /// written, so decisions keep to the version that they rest on.
     #[test]
