--- a/src/controller/nested.rs
+++ b/src/controller/nested.rs
@@ -40,6 +40,7 @@
 /// Room for several tasks is kept this long beyond what the slowest of those it is taken from
 /// needs to save.
 const KEPT: Millis = Millis(4_000);
+
 impl Controller {
     /// Sees to the tree: offers the file, drops what was replaced, and looks over demand.
     pub(super) fn keep_tree(&mut self) {
@@ -118,6 +119,8 @@
     pub(super) fn feed_tree(&mut self, key: &str, data: Option<&str>, version: Revision) {
         if self.nested.feed(key, data, version) {
             self.jobs.regroup(self.nested.groups());
+            self.foremost.clear();
+            self.gathered.clear();
             self.wake(Event::NewTree);
         }
     }
