One test of a share, no state that nobody reads, a body limit that holds

Read once more: within and has_room were one, a leaf's present demand was kept and never read, a filter stood twice, and the region's limit on bodies let everything pass.

--- a/crates/quota/src/shares.rs
+++ b/crates/quota/src/shares.rs
@@ -19,8 +19,7 @@
     entitled: Amount,
     /// Its children's claims, or what it has to divide, changed.
     dirty: bool,
-    /// A leaf's demand as it is now, and since when it is less than what counts.
-    now: Amount,
+    /// Since when a leaf's demand is less than what counts.
     less_since: Option<u64>,
     /// The largest demand since then.
     most: Amount,
@@ -90,7 +89,6 @@
         let limit = self.tree.node(leaf).limit;
         let state = &mut self.nodes[leaf.at()];
         let amount = amount.capped(limit);
-        state.now = amount;
         let more = amount.cpus >= state.demand.cpus && amount.gpus >= state.demand.gpus;
         let counts = if more {
             state.less_since = None;
@@ -184,9 +182,10 @@
         [0, 1].into_iter().filter(move |r| governed[*r])
     }
 
-    /// Whether work is within what a node is entitled to, to the nearest task. A node that uses
-    /// nothing may have one task that is larger than all of its share: else it would never run.
-    fn has_room(&self, ix: NodeIx, used: Amount, wanted: Wanted) -> bool {
+    /// Whether work is within what a node is entitled to, to the nearest task: of a team, such work
+    /// goes first, and may reclaim what others borrowed. A node that uses nothing may have one task
+    /// that is larger than all of its share: else it would never run.
+    pub fn within(&self, ix: NodeIx, used: Amount, wanted: Wanted) -> bool {
         let entitled = self.entitled(ix).each();
         let (used, total, task) = (used.each(), wanted.total.each(), wanted.task.each());
         let alone = wanted.total == wanted.task;
@@ -199,12 +198,6 @@
         governed && all
     }
 
-    /// Whether a team's work is within what the tree entitles it to: such work goes first, and may
-    /// reclaim what others borrowed.
-    pub fn within(&self, leaf: NodeIx, used: Amount, wanted: Wanted) -> bool {
-        self.has_room(leaf, used, wanted)
-    }
-
     /// Whether a node stays nearer to its share, or above it, without a task; less `gives`, which
     /// it has to give up for a task that is larger than the share of its owner.
     fn spares(&self, ix: NodeIx, used: Amount, task: Amount, gives: Amount) -> bool {
@@ -237,7 +230,7 @@
         }
         match self.tree.parting(by, from) {
             Some((mine, its)) => {
-                self.has_room(mine, used(mine), wanted)
+                self.within(mine, used(mine), wanted)
                     && (its == from || self.spares(its, used(its), task, gives))
             }
             None => false,
--- a/crates/region/src/live/http.rs
+++ b/crates/region/src/live/http.rs
@@ -27,7 +27,7 @@
 pub type Reaction = (u16, Option<Value>);
 
 /// No request body is larger.
-const LARGEST: u64 = 1 << 20;
+const LARGEST: usize = 1 << 20;
 
 pub fn listen() -> std::io::Result<TcpListener> {
     let listener = TcpListener::bind(("127.0.0.1", 0))?;
@@ -44,11 +44,6 @@
     let all = warp::method()
         .and(warp::path::full())
         .and(warp::query::<HashMap<String, String>>())
-        .and(
-            warp::body::content_length_limit(LARGEST)
-                .or(warp::any())
-                .unify(),
-        )
         .and(warp::body::bytes())
         .then(move |method, path: FullPath, query, body: bytes::Bytes| {
             let request = Request {
@@ -59,7 +54,11 @@
             };
             let handler = handler.clone();
             async move {
-                let (status, body) = handler(request).await;
+                let (status, body) = if request.body.len() > LARGEST {
+                    (413, None)
+                } else {
+                    handler(request).await
+                };
                 let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
                 let body = body.map(|b| b.to_string()).unwrap_or_default();
                 warp::reply::with_status(body, status).into_response()
--- a/crates/region/src/rules.rs
+++ b/crates/region/src/rules.rs
@@ -234,8 +234,8 @@
         return Some(format!("{task} in zone {}", machine.zone));
     }
     let mut zones: BTreeMap<_, u32> = BTreeMap::new();
-    for (host, other) in present.iter().filter(|(_, other)| other.job == task.job) {
-        if let Some(machine) = machines.hosts.get(*host).filter(|_| other.job == task.job) {
+    for (host, _) in present.iter().filter(|(_, other)| other.job == task.job) {
+        if let Some(machine) = machines.hosts.get(*host) {
             *zones.entry(&machine.zone).or_default() += 1;
         }
     }
