--- a/crates/region/src/live/workers.rs
+++ b/crates/region/src/live/workers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use jaspertiller::http_client::HttpClient;
-use jaspertiller::types::{HostId, NodeId, Session, Token};
+use jaspertiller::types::{Baton, HostId, NodeId, Session};
 use jaspertiller::workers::wire::{Cause, Order, OrderBody, Report, ReportAnswer, TaskStage};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -17,7 +17,7 @@
 
 #[derive(Deserialize)]
 struct Orders {
-    baton: Option<Token>,
+    baton: Option<Baton>,
     shift: Option<Session>,
     #[serde(default)]
     orders: Vec<OrderBody>,
@@ -84,11 +84,11 @@
     let answer = match call.await {
         Ok((200, body)) => match serde_json::from_slice::<Orders>(&body) {
             Ok(Orders {
-                baton: Some(token),
+                baton: Some(baton),
                 orders: bodies,
                 ..
             }) => ReportAnswer::Orders {
-                token,
+                baton,
                 orders: orders(&bodies),
             },
             _ => return,
@@ -144,12 +144,12 @@
         (&Method::GET, "/inspect") => {}
         (&Method::POST, "/do") => match serde_json::from_slice::<Orders>(&request.body) {
             Ok(Orders {
-                baton: Some(token),
+                baton: Some(baton),
                 shift: Some(session),
                 orders: bodies,
             }) => {
                 let machines = &mut region.machines;
-                if !machines.direct(&host, token, session, orders(&bodies), now) {
+                if !machines.direct(&host, baton, session, orders(&bodies), now) {
                     status = 409;
                 }
             }
--- a/crates/region/src/machines.rs
+++ b/crates/region/src/machines.rs
@@ -5,7 +5,7 @@
 
 use jaspertiller::jobs::{Shape, Spec};
 use jaspertiller::types::{
-    Attempt, HostId, Image, JobId, Millis, Room, Session, TaskId, Token, Zone,
+    Attempt, Baton, HostId, Image, JobId, Millis, Room, Session, TaskId, Zone,
 };
 use jaspertiller::workers::wire::{Cause, Order, Pick, Report, ReportAnswer, TaskStage};
 use rand::rngs::SmallRng;
@@ -59,7 +59,7 @@
     pub up_at: Millis,
     pub session: u64,
     tally: u64,
-    baton: u64,
+    baton: Baton,
     lease_from: Millis,
     /// The controller that it reports to.
     pub node: usize,
@@ -94,7 +94,7 @@
             loaners: self.spot,
             shift: Session(self.session),
             tally: self.tally,
-            baton: Token(self.baton),
+            baton: self.baton,
             warning_s: None,
             picks: self.tasks.iter().map(pick).collect(),
         }
@@ -169,7 +169,7 @@
             up_at,
             session: 1,
             tally: 0,
-            baton: 0,
+            baton: Baton(0),
             lease_from: up_at,
             node: self.rng.random_range(0..self.nodes),
             next_report: up_at,
@@ -438,13 +438,13 @@
         };
         machine.in_flight = None;
         match answer {
-            ReportAnswer::Orders { token, orders } => {
+            ReportAnswer::Orders { baton, orders } => {
                 // Dropped: its lease is not renewed, its orders are not executed.
-                if token.0 < machine.baton {
+                if baton < machine.baton {
                     return;
                 }
-                if token.0 > machine.baton {
-                    machine.baton = token.0;
+                if baton > machine.baton {
+                    machine.baton = baton;
                     machine.next_report = now + SOON;
                 }
                 machine.lease_from = sent;
@@ -466,7 +466,7 @@
     pub fn direct(
         &mut self,
         host: &HostId,
-        token: Token,
+        baton: Baton,
         session: Session,
         orders: Vec<Order>,
         now: Millis,
@@ -474,9 +474,9 @@
         let Some(machine) = self.hosts.get_mut(host) else {
             return false;
         };
-        let obeyed = token.0 >= machine.baton && session.0 == machine.session;
+        let obeyed = baton >= machine.baton && session.0 == machine.session;
         if obeyed {
-            machine.baton = machine.baton.max(token.0);
+            machine.baton = machine.baton.max(baton);
             self.execute(host, orders, now);
         }
         if let Some(machine) = self.hosts.get_mut(host) {
--- a/crates/region/src/sim.rs
+++ b/crates/region/src/sim.rs
@@ -12,7 +12,7 @@
 use jaspertiller::peers::Message;
 use jaspertiller::settings::Settings;
 use jaspertiller::store::{Answer, Call};
-use jaspertiller::types::{HostId, JobId, Millis, NodeId, ReplyId, Revision, Session, Token};
+use jaspertiller::types::{Baton, HostId, JobId, Millis, NodeId, ReplyId, Revision, Session, Zone};
 use jaspertiller::workers::wire::{Order, ReportAnswer};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -48,6 +48,23 @@
     pub hold: bool,
 }
 
+/// A zone that reaches nothing outside, and is reached by nothing: inside, all goes on.
+#[derive(Clone)]
+pub struct ZoneCut {
+    pub zone: Zone,
+    pub since: u64,
+    pub until: u64,
+    /// What was sent is delivered at the end, instead of lost.
+    pub hold: bool,
+}
+
+/// A cut as one message meets it.
+#[derive(Clone, Copy)]
+struct Held {
+    until: u64,
+    hold: bool,
+}
+
 /// A job of the region's users.
 #[derive(Clone)]
 pub struct JobPlan {
@@ -86,7 +103,7 @@
     Node(usize, u64, Box<Event>),
     /// To the state service; whether an answer is still waited for.
     Store(usize, u64, u64, Call, bool),
-    Direct(usize, u64, HostId, Token, Session, Vec<Order>, bool),
+    Direct(usize, u64, HostId, Baton, Session, Vec<Order>, bool),
     Report(Outgoing),
     Answer(Outgoing, ReportAnswer),
     Submit(usize),
@@ -117,6 +134,7 @@
     watches: HashMap<u64, (usize, u64, u64)>,
     pub outages: Vec<(u64, u64)>,
     pub cuts: Vec<Cut>,
+    pub zone_cuts: Vec<ZoneCut>,
     /// Share of transactions whose answer is lost, and that may be applied seconds late.
     pub lost_answers: f64,
     pub machines: Machines,
@@ -152,6 +170,7 @@
             watches: HashMap::new(),
             outages: Vec::new(),
             cuts: Vec::new(),
+            zone_cuts: Vec::new(),
             lost_answers: 0.0,
             machines: Machines::new(&config, seed),
             cloud: Cloud::new(&config),
@@ -233,10 +252,43 @@
     }
 
     /// The cut that keeps a message from or to a node back, if any.
-    fn blocked(&self, node: usize, which: fn(&Cut) -> bool) -> Option<Cut> {
+    fn blocked(&self, node: usize, which: fn(&Cut) -> bool) -> Option<Held> {
         let now = self.now;
         let holds = |c: &&Cut| c.node == node && which(c) && c.since <= now && now < c.until;
-        self.cuts.iter().find(holds).cloned()
+        self.cuts.iter().find(holds).map(|cut| Held {
+            until: cut.until,
+            hold: cut.hold,
+        })
+    }
+
+    /// The cut between two places, each a zone or none for what belongs to the region.
+    fn zones_apart(&self, a: Option<&Zone>, b: Option<&Zone>) -> Option<Held> {
+        let now = self.now;
+        let parts = |c: &&ZoneCut| {
+            let inside = |place: Option<&Zone>| place == Some(&c.zone);
+            inside(a) != inside(b) && c.since <= now && now < c.until
+        };
+        self.zone_cuts.iter().find(parts).map(|cut| Held {
+            until: cut.until,
+            hold: cut.hold,
+        })
+    }
+
+    fn store_cut(&self, node: usize) -> Option<Held> {
+        let cut = self.blocked(node, |c| c.from_store);
+        cut.or_else(|| self.zones_apart(Some(&self.settings[node].zone), None))
+    }
+
+    fn worker_cut(&self, node: usize, host: &HostId) -> Option<Held> {
+        let cut = self.blocked(node, |c| c.from_workers);
+        let zone = self.machines.hosts.get(host).map(|machine| &machine.zone);
+        cut.or_else(|| self.zones_apart(Some(&self.settings[node].zone), zone))
+    }
+
+    fn peers_apart(&self, a: usize, b: usize) -> bool {
+        let cut = |node| self.blocked(node, |c| c.from_peers).is_some();
+        let (a_zone, b_zone) = (&self.settings[a].zone, &self.settings[b].zone);
+        cut(a) || cut(b) || self.zones_apart(Some(a_zone), Some(b_zone)).is_some()
     }
 
     fn during(&self, spans: &[(u64, u64)]) -> bool {
@@ -284,8 +336,8 @@
             Msg::Store(node, epoch, tag, call, reply) => {
                 self.store_call(node, epoch, tag, call, reply);
             }
-            Msg::Direct(node, epoch, host, token, session, orders, reply) => {
-                self.direct(node, epoch, host, token, session, orders, reply);
+            Msg::Direct(node, epoch, host, baton, session, orders, reply) => {
+                self.direct(node, epoch, host, baton, session, orders, reply);
             }
             Msg::Report(out) => self.report_arrives(out),
             Msg::Answer(out, answer) => self.machines.answered(&out, answer, Millis(self.now)),
@@ -343,7 +395,12 @@
     /// A user reaches whichever controller.
     fn ask(&mut self, event: Event) {
         let node = self.rng.random_range(0..self.nodes.len());
-        self.handle(node, event);
+        if self
+            .zones_apart(Some(&self.settings[node].zone), None)
+            .is_none()
+        {
+            self.handle(node, event);
+        }
     }
 
     fn handle(&mut self, node: usize, event: Event) {
@@ -384,7 +441,7 @@
                 let txn = matches!(call, Call::Txn(_));
                 let lost = txn && self.rng.random_bool(self.lost_answers);
                 let late = lost && self.rng.random_bool(0.5);
-                let unanswered = match self.blocked(node, |c| c.from_store) {
+                let unanswered = match self.store_cut(node) {
                     Some(cut) => {
                         if cut.hold && txn {
                             self.post(cut.until + 1, Msg::Store(node, epoch, tag, call, false));
@@ -415,8 +472,7 @@
                 let Some(target) = self.index(&to) else {
                     return;
                 };
-                let cut = |w: &Self, n| w.blocked(n, |c| c.from_peers).is_some();
-                if !cut(self, node) && !cut(self, target) && self.nodes[target].is_some() {
+                if !self.peers_apart(node, target) && self.nodes[target].is_some() {
                     let from = NodeId::from(Config::label(node));
                     let frame = bitcode::encode(&message);
                     if let Ok(message) = bitcode::decode::<Message>(&frame) {
@@ -426,33 +482,33 @@
             }
             Effect::Direct {
                 host,
-                token,
+                baton,
                 session,
                 orders,
                 ..
-            } => match self.blocked(node, |c| c.from_workers) {
+            } => match self.worker_cut(node, &host) {
                 Some(cut) => {
                     if cut.hold {
                         let host = host.clone();
-                        let msg = Msg::Direct(node, epoch, host, token, session, orders, false);
+                        let msg = Msg::Direct(node, epoch, host, baton, session, orders, false);
                         self.post(cut.until + 1, msg);
                     }
                     let answer = None;
                     self.send_to(node, now + DIRECT_LIMIT, Event::Direct { host, answer });
                 }
                 None => {
-                    let msg = Msg::Direct(node, epoch, host, token, session, orders, true);
+                    let msg = Msg::Direct(node, epoch, host, baton, session, orders, true);
                     self.post(now + delay, msg);
                 }
             },
             Effect::Inspect { host, .. } => {
-                let answered = self.blocked(node, |c| c.from_workers).is_none()
+                let answered = self.worker_cut(node, &host).is_none()
                     && self.machines.reachable(&host, Millis(now));
                 self.send_to(node, now + 50, Event::Inspected { answered });
             }
             Effect::Worker { reply, answer } => {
                 if let Some(Owed::Worker(out)) = self.owed.remove(&reply)
-                    && self.blocked(node, |c| c.from_workers).is_none()
+                    && self.worker_cut(node, &out.host).is_none()
                 {
                     self.post(now + delay, Msg::Answer(out, answer));
                 }
@@ -485,8 +541,14 @@
     fn wake_watches(&mut self) {
         for (id, answer) in self.store.woken() {
             if let Some((node, epoch, tag)) = self.watches.remove(&id) {
+                // What is on its way when the cut begins comes late, or not at all.
+                let (at, answer) = match self.store_cut(node) {
+                    Some(Held { until, hold: true }) => (until + 3, answer),
+                    Some(_) => (self.now + CALL_LIMIT, Answer::Unknown),
+                    None => (self.now + 3, answer),
+                };
                 let event = Box::new(Event::Store { tag, answer });
-                self.post(self.now + 3, Msg::Node(node, epoch, event));
+                self.post(at, Msg::Node(node, epoch, event));
             }
         }
     }
@@ -532,7 +594,10 @@
 
     fn report_arrives(&mut self, out: Outgoing) {
         let node = out.node;
-        let down = self.nodes[node].is_none() || self.blocked(node, |c| c.from_workers).is_some();
+        if let Some(Held { until, hold: true }) = self.worker_cut(node, &out.host) {
+            return self.post(until + 1, Msg::Report(out));
+        }
+        let down = self.nodes[node].is_none() || self.worker_cut(node, &out.host).is_some();
         if down || !self.machines.reachable(&out.host, Millis(self.now)) {
             return;
         }
@@ -547,7 +612,7 @@
         node: usize,
         epoch: u64,
         host: HostId,
-        token: Token,
+        baton: Baton,
         session: Session,
         orders: Vec<Order>,
         reply: bool,
@@ -558,7 +623,7 @@
             self.post(self.now + DIRECT_LIMIT, Msg::Node(node, epoch, event));
             return;
         }
-        self.machines.direct(&host, token, session, orders, now);
+        self.machines.direct(&host, baton, session, orders, now);
         if reply {
             let report = self.machines.report(&host);
             let answer = Some(DirectAnswer { report });
--- a/crates/region/tests/cluster/main.rs
+++ b/crates/region/tests/cluster/main.rs
@@ -1,8 +1,9 @@
 //! Whole controllers in a simulated world: crashes, cuts, outages, late messages. The world
 //! checks the rules; each test also shows that the work gets done in the end.
 
+use jaspertiller::types::Millis;
 use tiller_region::config::Config;
-use tiller_region::sim::{Cut, JobPlan, World, job};
+use tiller_region::sim::{Cut, JobPlan, World, ZoneCut, job};
 
 const NODES: usize = 5;
 
@@ -65,6 +66,15 @@
     }
 }
 
+fn zone_cut(zone: &str, from_s: u64, for_s: u64, hold: bool) -> ZoneCut {
+    ZoneCut {
+        zone: zone.into(),
+        since: from_s * 1_000,
+        until: (from_s + for_s) * 1_000,
+        hold,
+    }
+}
+
 const DAYS: &[Day] = &[
     Day {
         name: "quiet",
@@ -148,6 +158,45 @@
             (0..NODES).for_each(|n| w.crash(n, 20_000 + 11_000 * n as u64, 5_000));
         },
     },
+    Day {
+        name: "a zone is cut off for 20 s",
+        plan: |w| w.zone_cuts.push(zone_cut("b", 18, 20, true)),
+    },
+    Day {
+        name: "a zone is cut off for 50 s, its controllers crash meanwhile",
+        plan: |w| {
+            w.zone_cuts.push(zone_cut("b", 20, 50, true));
+            w.crash(1, 31_000, 3_000);
+            w.crash(3, 31_500, 5_000);
+        },
+    },
+    Day {
+        name: "a zone is cut off for 120 s, its controllers crash early and late",
+        plan: |w| {
+            w.zone_cuts.push(zone_cut("b", 21, 120, false));
+            w.crash(1, 23_000, 3_000);
+            w.crash(3, 60_000, 8_000);
+        },
+    },
+    Day {
+        name: "a zone is cut off time and again, with lost answers",
+        plan: |w| {
+            w.lost_answers = 0.05;
+            for round in 0..6 {
+                w.zone_cuts.push(zone_cut("a", 15 + 20 * round, 10, true));
+            }
+        },
+    },
+    Day {
+        name: "one zone is cut off after the other, in an outage too",
+        plan: |w| {
+            w.zone_cuts.push(zone_cut("a", 18, 35, true));
+            w.zone_cuts.push(zone_cut("b", 50, 40, true));
+            w.outages.push((60_000, 75_000));
+            w.crash(2, 25_000, 4_000);
+            w.crash(3, 64_000, 4_000);
+        },
+    },
     Day {
         name: "lost answers, a crash and a cut at once",
         plan: |w| {
@@ -209,6 +258,53 @@
     }
 }
 
+/// Workers killed all that they had when their zone was cut off for longer than a lease, though a
+/// controller was cut off with them; or when that controller crashed meanwhile.
+#[test]
+fn a_zone_that_is_cut_off_keeps_working() {
+    let cases: &[(&str, &[(usize, u64)])] = &[
+        ("its controllers stay", &[]),
+        ("one crashes", &[(1, 32_000)]),
+        ("both crash", &[(1, 32_000), (3, 32_000)]),
+        (
+            "both crash, one twice",
+            &[(1, 32_000), (3, 32_000), (1, 62_000)],
+        ),
+    ];
+    for (name, crashes) in cases {
+        for seed in 1..=3 {
+            let mut config = Config {
+                controllers: NODES,
+                ..Config::default()
+            };
+            // A worker that looks for another controller spends 5 s on each that it can't reach.
+            config.timing.lease = Millis(26_000);
+            config.timing.cancel = Millis(46_000);
+            let mut world = World::new(config, seed, mixed_jobs());
+            world.zone_cuts.push(zone_cut("b", 20, 60, true));
+            for (node, at) in *crashes {
+                world.crash(*node, *at, 3_000);
+            }
+            world.run_until(20_000);
+            let hosts = world.machines.hosts.iter();
+            let up = hosts.filter(|(_, m)| m.dead.is_none() && !m.tasks.is_empty());
+            let inside = up.filter(|(_, m)| m.zone.as_str() == "b");
+            let inside: Vec<_> = inside.map(|(host, m)| (host.clone(), m.session)).collect();
+            assert!(!inside.is_empty(), "{name} (seed {seed})");
+            world.run_until(79_000);
+            for (host, session) in inside {
+                let machine = &world.machines.hosts[&host];
+                let kept = machine.dead.is_none() && machine.session == session;
+                assert!(
+                    kept,
+                    "{name} (seed {seed}): {host} {session} {} {:?}",
+                    machine.session, machine.dead
+                );
+            }
+        }
+    }
+}
+
 /// The checks of the world can fail: without a guard some day breaks a rule.
 #[test]
 fn without_a_guard_rules_break() {
--- /dev/null
+++ b/src/controller/cancelling.rs
@@ -0,0 +1,73 @@
+//! Cancellations: what is asked is committed at once, and told once no task is left anywhere.
+
+use super::{After, Controller, Purpose};
+use crate::jobs::Phase;
+use crate::jobs::api::{Response, is_final};
+use crate::jobs::record::{JobRecord, job_key};
+use crate::store::{Answer, Class, Txn};
+use crate::types::{JobId, ReplyId};
+
+impl Controller {
+    pub(super) fn on_abort(&mut self, reply: ReplyId, job: JobId) {
+        match self.jobs.state(&job) {
+            Some(state) if is_final(&state) => self.tell(reply, Response::State(state)),
+            Some(_) => self.abort_known(reply, job),
+            None => self.ask_fresh(After::Abort { reply, job }),
+        }
+    }
+
+    pub(super) fn abort_known(&mut self, reply: ReplyId, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return self.tell(reply, Response::later());
+        };
+        if !job.active() {
+            self.cancelling.add(&id, reply, self.now);
+            return self.clear(&id);
+        }
+        let record = JobRecord {
+            phase: Phase::Aborting,
+            ..job.record.clone()
+        };
+        let mut txn = Txn::default();
+        txn.require(job_key(&id), job.version);
+        txn.put(job_key(&id), &record);
+        self.transact(Class::Users, txn, Purpose::Abort { reply, job: id });
+    }
+
+    pub(super) fn on_aborted(&mut self, reply: ReplyId, job: JobId, answer: Answer) {
+        match answer {
+            Answer::Committed(_) => {
+                self.cancelling.add(&job, reply, self.now);
+                self.clear(&job);
+            }
+            Answer::Conflict(revision) => {
+                self.fresh
+                    .waiting
+                    .push((revision, After::Abort { reply, job }));
+                self.proved();
+            }
+            _ => self.tell(reply, Response::later()),
+        }
+    }
+
+    /// Tells users whose jobs have ended meanwhile.
+    pub(super) fn tell_cancelled(&mut self) {
+        let jobs = &self.jobs;
+        let state = |id: &JobId| jobs.state(id).filter(is_final);
+        let over = self.cancelling.over(|id| state(id).is_some());
+        let told: Vec<_> = over
+            .into_iter()
+            .filter_map(|(id, reply)| Some((reply, state(&id)?)))
+            .collect();
+        for (reply, state) in told {
+            self.tell(reply, Response::State(state));
+        }
+    }
+
+    /// A task that nobody hears of may take long to be seen gone: its user asks again.
+    pub(super) fn give_up_cancelling(&mut self) {
+        for reply in self.cancelling.late(self.now) {
+            self.tell(reply, Response::later());
+        }
+    }
+}
--- a/src/controller/committing.rs
+++ b/src/controller/committing.rs
@@ -6,7 +6,7 @@
 use rustc_hash::FxHashMap as HashMap;
 
 use super::{After, Controller, Purpose};
-use crate::jobs::cache::{Change, Evidence, Writing};
+use crate::jobs::cache::{Change, Evidence, Job, Writing};
 use crate::jobs::record::{JobRecord, encode_page, job_key, page_key};
 use crate::jobs::{Phase, Placement, Rank, Task};
 use crate::lease::{LEADER, block_key};
@@ -82,9 +82,10 @@
             !quota::within(used, team)
         };
         let waited_for = last || job.whole_gang() || self.limits(job).iter().any(near);
-        let turn = if ends && !waited_for {
+        // Somebody waits to hear that a cancelled job's tasks are gone.
+        let turn = if ends && !waited_for && job.active() {
             self.now + GATHER
-        } else if job.spec.rank >= Rank::Urgent {
+        } else if job.spec.rank >= Rank::Urgent || !job.active() {
             Millis(self.now.0.saturating_sub(URGENT_FIRST.0))
         } else {
             self.now
@@ -221,13 +222,14 @@
         let complete = job.active() && job.done + finished == job.record.tasks;
         // With the last task of a job that is over goes what is left of the job: its record needs
         // no spec any more, and its pages are dropped when there is time.
-        let cleared = !job.active() && job.placed as usize == changes.len();
+        let cleared =
+            !job.active() && job.placed as usize == changes.len() && self.knows_all_of(job);
         if complete || cleared {
             let record = JobRecord {
                 phase: if complete {
                     Phase::Done
                 } else {
-                    job.record.phase
+                    Phase::Aborted
                 },
                 spec: None,
                 ..job.record.clone()
@@ -299,11 +301,25 @@
     /// A transaction that did not plainly succeed is over, and the cache shows what came of it.
     /// All noted changes are dropped: the next reports and cycles bring back what still holds.
     pub(super) fn settle(&mut self, id: &JobId) {
+        // Of tasks that left their machines, the last reports still hold: replicas on two holders'
+        // machines end at once, and one of the two had to wait for its machine's next report.
+        let ended = self.jobs.get(id).map(|job| {
+            let left = job
+                .changes
+                .iter()
+                .filter(|(_, c)| !matches!(c, Change::Place(_)));
+            let hosts =
+                left.filter_map(|(index, _)| Some(job.task(*index).placement()?.host.clone()));
+            hosts.collect::<BTreeSet<HostId>>()
+        });
         self.jobs.discard_changes(id);
         if let Some(job) = self.jobs.get_mut(id) {
             job.writing = Writing::Idle;
             self.fail_later(id);
         }
+        for host in ended.unwrap_or_default() {
+            self.look_again(&host);
+        }
     }
 
     /// Forgets the description of a job that is over once no task of it is anywhere.
@@ -312,9 +328,19 @@
         if job.active() || job.placed > 0 || job.writing != Writing::Idle {
             return;
         }
+        if !self.knows_all_of(job) {
+            let (version, job) = (job.version, id.clone());
+            return self.fresh.waiting.push((version, After::Clear { job }));
+        }
+        // A user waits for it.
+        let class = match job.record.phase {
+            Phase::Aborting => Class::Users,
+            _ => Class::Rest,
+        };
         let mut txn = Txn::default();
         txn.require(job_key(id), job.version);
         let record = JobRecord {
+            phase: Phase::Aborted,
             spec: None,
             ..job.record.clone()
         };
@@ -322,7 +348,14 @@
         if let Some(job) = self.jobs.get_mut(id) {
             job.writing = Writing::InFlight;
         }
-        self.transact(Class::Rest, txn, Purpose::Clear { job: id.clone() });
+        self.transact(class, txn, Purpose::Clear { job: id.clone() });
+    }
+
+    /// Whether the cache shows all that was placed of a job before it was cancelled: nothing can be
+    /// any more. A placement that is not known yet would be on its machine when the user hears
+    /// that the job is over.
+    fn knows_all_of(&self, job: &Job) -> bool {
+        self.applied >= job.version
     }
 
     /// The leader drops pages of jobs that are over while there is nothing else to write. No
--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -13,8 +13,9 @@
 use crate::jobs::{Rank, Shape, Spec};
 use crate::settings::Objective;
 use crate::store::{Class, Txn};
-use crate::types::{HostId, JobId, Millis, Room};
+use crate::types::{HostId, JobId, Millis, Room, Zone};
 use crate::workers::{Machine, block_of};
+use crate::zones::silence::{Seen, Suspect, Zones};
 
 const EVERY: Millis = Millis(1_000);
 /// Machines are planned for this many tasks of a job at the most.
@@ -63,6 +64,7 @@
         // The next answer may have to be noted.
         self.flavors_asked = Millis(0);
         self.drains.clear();
+        self.zones = Zones::default();
     }
 
     fn call_cloud(&mut self, call: CloudCall) -> u64 {
@@ -195,17 +197,27 @@
     fn delete_lost(&mut self) {
         let lease = Millis::from_secs(self.settings.deployment.workers.lease_s + 4.0);
         let mut lost: Vec<HostId> = Vec::new();
+        let mut silenced: Vec<Suspect> = Vec::new();
+        let mut zones: BTreeMap<Zone, Seen> = BTreeMap::new();
         for (host, rented) in &self.fleet.hosts {
             let boot = self.flavor(&rented.rig).map_or(60.0, |f| f.boot_s.max(5.0));
             let machine = self.machines.get(host);
             let parts = self.settings.operator.blocks_per_zone;
             let block = block_of(host, &rented.zone, parts);
             let silent = self.silent_for(host, &block);
+            if rented.stage == Stage::Running
+                && let Some(silent) = &silent
+            {
+                let seen = zones.entry(rented.zone.clone()).or_default();
+                seen.machines += 1;
+                let asked = silent.held > HOLDER_ASKS && silent.since_heard > self.silence();
+                seen.silent += u32::from(asked);
+            }
             let never = rented.stage == Stage::Booting
                 && self.now.since(rented.since) > Millis::from_secs(boot * NEVER + 10.0);
             let early = Millis::from_secs(3.2 * self.settings.deployment.workers.report_s + 1.0);
             let dead = rented.stage == Stage::Running
-                && silent.is_some_and(|silent| {
+                && silent.as_ref().is_some_and(|silent| {
                     // A new holder asks each machine itself, so a few seconds suffice for it.
                     let early = silent.since_heard > early && silent.held > HOLDER_ASKS;
                     silent.outlasts(lease) || early && self.zone_speaks(host, &rented.zone)
@@ -213,8 +225,10 @@
             let sick = machine.is_some_and(|m| m.sick || m.warned && m.tasks.is_empty())
                 && !self.jobs.busy(host)
                 && self.drained(host);
-            if rented.stage == Stage::Failed || never || dead || sick {
+            if rented.stage == Stage::Failed || never || sick {
                 lost.push(host.clone());
+            } else if dead && !self.fleet.deleting.contains(host) {
+                silenced.push(self.suspect(host, &rented.zone));
             }
         }
         // Machines that only the records know: a list need not show them any more.
@@ -225,9 +239,16 @@
             });
             let silent = block.and_then(|block| self.silent_for(host, &block));
             if !known && silent.is_some_and(|silent| silent.outlasts(lease)) {
-                lost.push(host.clone());
+                let zone = self.jobs.on_host(host).find_map(|(id, index)| {
+                    let placement = self.jobs.get(id)?.task(*index).placement()?;
+                    Some(placement.block.zone.clone())
+                });
+                silenced.extend(zone.map(|zone| self.suspect(host, &zone)));
             }
         }
+        self.observe_zones(zones);
+        let hold = self.settings.operator.hold;
+        lost.extend(self.zones.give_up(silenced, hold, self.now));
         for (host, machine) in &self.machines {
             if machine.sick && !self.fleet.gone.contains(host) {
                 self.drains.insert(host.clone());
@@ -287,8 +308,14 @@
             // One that is late is not counted on.
             let late = rented.stage == Stage::Booting
                 && self.now.since(rented.since).secs() > flavor.boot_s * 1.8 + 5.0;
+            // One that nobody could tell to start a task is no room, though it may be at work.
+            let patience = if self.zones.out_of_reach(&rented.zone) {
+                1
+            } else {
+                3
+            };
             let silent = rented.stage == Stage::Running
-                && machine.is_none_or(|m| self.now.since(m.heard).0 > 3 * self.silence().0);
+                && machine.is_none_or(|m| self.now.since(m.heard).0 > patience * self.silence().0);
             if bad || late || silent {
                 continue;
             }
@@ -364,7 +391,7 @@
             &needs,
             &self.headroom(),
             &self.flavors,
-            |offer| self.sold_out(offer),
+            |offer| self.sold_out(offer) || self.zones.out_of_reach(&offer.1),
             self.settings.operator.idle_return,
         );
         if !plan.rent.is_empty() && self.keep_drained() {
--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -523,13 +523,12 @@
         self.synced && !self.flavors.is_empty() && (!lost || self.outage_is_common())
     }
 
-    /// Whether reports may be answered. A controller that lost the state service can't learn of
-    /// cancellations, so it lets workers' leases run out in time for them, unless all others are
-    /// without it too: then nothing can have been cancelled.
+    /// Whether reports may be answered. A controller that lost the state service goes on: nothing
+    /// is told of its machines' tasks before it is seen, and whoever holds its blocks now shows
+    /// the machines a higher token.
     pub(super) fn may_answer(&self) -> bool {
-        let workers = &self.settings.deployment.workers;
-        let spare = (workers.cancel_s - workers.lease_s) * 0.8 - 2.0;
-        self.without_store().secs() < spare.max(2.0) || self.outage_is_common()
+        let keep = self.settings.operator.keep;
+        self.without_store() < keep || self.outage_is_common()
     }
 
     /// The token under which a machine's worker is answered.
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -2,6 +2,7 @@
 //! does no I/O and reads no clock itself, so that tests can drive whole controllers through
 //! crashes and cuts in virtual time.
 
+mod cancelling;
 mod committing;
 mod fleet_keeping;
 mod membership;
@@ -10,6 +11,7 @@
 mod reports;
 mod sharing;
 mod users;
+mod zones;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,6 +23,7 @@
 use crate::fleet::{CloudAnswer, CloudCall, Flavor, Fleet};
 use crate::jobs::api::{Refusal, Response};
 use crate::jobs::cache::Jobs;
+use crate::jobs::cancel::Cancelling;
 use crate::jobs::{Spec, cache::Change};
 use crate::lease::Leases;
 use crate::peers::Message;
@@ -30,11 +33,13 @@
 use crate::settings::Settings;
 use crate::store::{Answer, Call, Class, Txn};
 use crate::types::{
-    BlockId, HostId, JobId, Millis, NodeId, ReplyId, Revision, Room, Session, Token,
+    Baton, BlockId, HostId, JobId, Millis, NodeId, ReplyId, Revision, Room, Session,
 };
 use crate::workers::Machine;
 use crate::workers::reconcile::Stops;
 use crate::workers::wire::{Order, Report, ReportAnswer};
+use crate::zones::keep::Keeping;
+use crate::zones::silence::Zones;
 
 /// A worker's answer to orders that were sent to it directly: its report after them, or what it
 /// refused them with.
@@ -98,7 +103,7 @@
     Direct {
         host: HostId,
         address: SocketAddr,
-        token: Token,
+        baton: Baton,
         session: Session,
         orders: Vec<Order>,
     },
@@ -189,6 +194,10 @@
         reply: ReplyId,
         job: JobId,
     },
+    /// All that was placed of a job before it was cancelled is known now.
+    Clear {
+        job: JobId,
+    },
     /// A transaction's fate is clear now.
     Settle {
         job: JobId,
@@ -343,6 +352,8 @@
     ended_old: bool,
 
     leases: Leases,
+    keeping: Keeping,
+    zones: Zones,
     /// When each block last changed hands, as far as we saw.
     moved: HashMap<BlockId, Millis>,
     /// Whether we hear from workers; without that we can hold no blocks.
@@ -371,6 +382,7 @@
     /// Jobs with a transaction of unknown fate that must come to nothing before its room is free.
     to_void: HashMap<JobId, BlockId>,
     submitting: HashMap<JobId, Vec<ReplyId>>,
+    cancelling: Cancelling,
     fresh: Freshness,
 
     queue: Queue,
@@ -438,6 +450,8 @@
             store_heard: Millis(0),
             ended_old: false,
             leases: Leases::default(),
+            keeping: Keeping::default(),
+            zones: Zones::default(),
             moved: HashMap::default(),
             hears: true,
             last_report: Millis(0),
@@ -463,6 +477,7 @@
             voided: Millis(0),
             to_void: HashMap::default(),
             submitting: HashMap::default(),
+            cancelling: Cancelling::default(),
             fresh: Freshness::default(),
             queue,
             handed: HashSet::default(),
@@ -524,6 +539,8 @@
         self.read_revision();
         self.queue.tick(self.now);
         self.keep_hearing();
+        self.keep_zone();
+        self.give_up_cancelling();
         self.write_next();
         self.drop_leftovers();
         self.void_unknown();
@@ -573,6 +590,7 @@
         }
         if !matches!(answer, Answer::Refused | Answer::Unknown) {
             self.store_heard = self.now;
+            self.leave_keeping();
         }
         if let Answer::Committed(revision) = answer {
             // What we wrote is known at once; the watch brings it again, as old news.
@@ -600,6 +618,7 @@
             Purpose::Void { jobs, block } => self.on_void(jobs, block, answer),
             Purpose::Note => {}
         }
+        self.tell_cancelled();
     }
 
     /// How long the state service has not answered.
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -87,7 +87,7 @@
         if !job.active() {
             let ours = self.responsible(job);
             self.queue.remove(id);
-            if ours {
+            if ours || self.cancelling.waits_for(id) {
                 self.clear(id);
             }
             return;
@@ -130,7 +130,7 @@
     /// Fit for tasks that we place ourselves: in a block of ours, and heard under its token.
     pub(super) fn ours(&self, machine: &Machine) -> bool {
         self.token_for(&machine.block).is_some_and(|token| {
-            machine.baton == token
+            machine.baton.token() == token
                 && machine.answered.is_some_and(|(under, _)| under == token)
                 && machine.fit(self.now, self.silence())
                 && !self.drains.contains(&machine.host)
@@ -1000,7 +1000,7 @@
         let (mut machines, mut views) = (Vec::new(), Vec::new());
         for machine in self.machines.values() {
             let token = self.leases.holds(&machine.block, &self.me);
-            if token != Some(machine.baton) {
+            if token != Some(machine.baton.token()) {
                 continue;
             }
             machines.push(Pulse {
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -10,7 +10,7 @@
 use crate::jobs::cache::{Change, Evidence, Job};
 use crate::queue;
 use crate::types::{
-    Attempt, BlockId, HostId, JobId, Millis, ReplyId, Session, TaskId, Token, Zone,
+    Attempt, Baton, BlockId, HostId, JobId, Millis, ReplyId, Session, TaskId, Token, Zone,
 };
 use crate::workers::reconcile::{Stop, reconcile};
 use crate::workers::wire::{Cause, Order, Report, ReportAnswer, TaskStage};
@@ -153,20 +153,25 @@
         let parts = self.settings.operator.blocks_per_zone;
         let block = block_of(&report.host, &report.yard, parts);
         let Some(token) = self.token_for(&block) else {
+            if let Some(kept) = self.keep_for_others(&block, report.baton) {
+                return kept;
+            }
             return match self.leases.blocks.get(&block) {
                 Some((holder, _)) => ReportAnswer::Elsewhere(Some(holder.clone())),
                 None => ReportAnswer::Later,
             };
         };
-        if report.baton > token {
+        let baton = self.baton(token);
+        if report.baton > baton {
             // Somebody holds this block under a higher token, whatever we have heard so far.
             return ReportAnswer::Elsewhere(None);
         }
         if !self.may_answer() {
             return ReportAnswer::Later;
         }
+        let complete = self.complete(&block);
         let none = ReportAnswer::Orders {
-            token,
+            baton,
             orders: Vec::new(),
         };
         let (now, me) = (self.now, self.me.clone());
@@ -187,10 +192,12 @@
         if !machine.newer(report.shift, report.tally) {
             return none;
         }
-        let was_fit = machine.fit(now, silence) && machine.baton >= token;
+        let was_fit = machine.fit(now, silence) && machine.baton.token() >= token;
         machine.take_in(&report, now, &me);
-        if machine.baton < token {
-            // Its first report to us: it sees our token in the answer and reports again at once.
+        if machine.baton.token() < token || !complete {
+            // Its first report to us: it sees our token in the answer and reports again at once. A
+            // holder that does not know yet what was placed before it came gives no orders: a
+            // task that has left the machine since would start there once more.
             return none;
         }
         machine.direct.enter(token, machine.session);
@@ -204,7 +211,7 @@
         if let Some(machine) = self.machines.get_mut(&host) {
             machine.direct.riding = starts(&orders).collect();
         }
-        ReportAnswer::Orders { token, orders }
+        ReportAnswer::Orders { baton, orders }
     }
 
     /// Sends a worker its starts and stops without waiting for its report. Only to one that was
@@ -216,7 +223,8 @@
         let Some(token) = self.token_for(&machine.block) else {
             return;
         };
-        let (Some(address), true) = (machine.address, machine.baton == token) else {
+        let seen = machine.baton.token() == token && self.complete(&machine.block);
+        let (Some(address), true) = (machine.address, seen) else {
             return;
         };
         let heard = machine.answered.is_some_and(|(under, _)| under == token)
@@ -256,11 +264,11 @@
             // One that is loose already stays so, whatever becomes of this request.
             .filter(|start| loose.insert(start.clone()))
             .collect();
-        let host = host.clone();
+        let (host, baton) = (host.clone(), self.baton(token));
         self.effects.push(Effect::Direct {
             host,
             address,
-            token,
+            baton,
             session,
             orders,
         });
@@ -282,11 +290,11 @@
         if let (Some(report), Some(token)) = (answer.report, self.token_for(&block))
             && let Some(machine) = self.machines.get_mut(host)
             && report.host == *host
-            && report.baton <= token
+            && report.baton.token() <= token
             && machine.newer(report.shift, report.tally)
         {
             machine.take_in(&report, now, &me);
-            if machine.baton == token {
+            if machine.baton.token() == token {
                 machine.direct.enter(token, report.shift);
                 self.see_to(host, token);
             }
@@ -296,6 +304,18 @@
         }
     }
 
+    /// Draws from a machine's newest report what it still proves.
+    pub(super) fn look_again(&mut self, host: &HostId) {
+        let Some(machine) = self.machines.get(host) else {
+            return;
+        };
+        if let Some(token) = self.token_for(&machine.block)
+            && self.complete(&machine.block)
+        {
+            self.see_to(host, token);
+        }
+    }
+
     /// Whether tasks of a gang may still be fetching its image, wherever they were placed.
     fn gathering(&self, job: &Job) -> bool {
         let rates = self.flavors.iter().map(Flavor::rate);
@@ -463,17 +483,18 @@
 
     /// Shows our token to the machines of our blocks that have not seen it: until then they may
     /// go on reporting to an earlier holder, who may not know that it is one.
-    fn fence(&mut self) {
-        let unaware: Vec<(HostId, SocketAddr, Token, Session)> = self
+    pub(super) fn fence(&mut self) {
+        let unaware: Vec<(HostId, SocketAddr, Baton, Session)> = self
             .machines
             .values()
             .filter(|m| !m.direct.busy && !self.fleet.gone.contains(&m.host))
             .filter_map(|m| {
-                let token = self.token_for(&m.block).filter(|token| m.baton < *token)?;
-                Some((m.host.clone(), m.address?, token, m.session))
+                let baton = self.baton(self.token_for(&m.block)?);
+                let unaware = m.baton < baton;
+                unaware.then_some((m.host.clone(), m.address?, baton, m.session))
             })
             .collect();
-        for (host, address, token, session) in unaware {
+        for (host, address, baton, session) in unaware {
             if let Some(machine) = self.machines.get_mut(&host) {
                 machine.direct.busy = true;
                 machine.direct.sent.clear();
@@ -481,7 +502,7 @@
             self.effects.push(Effect::Direct {
                 host,
                 address,
-                token,
+                baton,
                 session,
                 orders: Vec::new(),
             });
@@ -506,10 +527,12 @@
             };
             // Only a worker that we alone answered, under the token we still hold: another
             // controller's answers would have renewed its lease unseen.
+            // While we keep machines alive anybody may.
             let over = machine
                 .answered
                 .is_some_and(|(under, at)| under == token && self.now.since(at) > lease)
-                && machine.baton >= token;
+                && machine.baton.token() >= token
+                && !self.keeping.on();
             if !over {
                 continue;
             }
--- a/src/controller/sharing.rs
+++ b/src/controller/sharing.rs
@@ -19,7 +19,7 @@
     }
 
     /// Whether the cache shows all that was placed in a block before we came to hold it.
-    fn complete(&self, block: &BlockId) -> bool {
+    pub(super) fn complete(&self, block: &BlockId) -> bool {
         let token = self.leases.blocks.get(block).map_or(0, |(_, t)| t.0);
         self.applied.0 >= token
     }
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -1,7 +1,7 @@
 //! What users ask: submissions, polls and cancellations.
 
 use super::{After, Controller, Effect, Purpose};
-use crate::jobs::api::{self, JobState, Refusal, Response, Stage};
+use crate::jobs::api::{self, Refusal, Response, is_final};
 use crate::jobs::record::{JobRecord, job_key, page_size};
 use crate::jobs::{Phase, Spec};
 use crate::store::{Answer, Class, Txn};
@@ -13,10 +13,6 @@
 /// Submissions that would wait longer than this for the state service are to come back.
 const MOST_WAIT_S: f64 = 1.0;
 
-fn is_final(state: &JobState) -> bool {
-    matches!(state.stage, Stage::Done | Stage::Aborted)
-}
-
 impl Controller {
     pub(super) fn tell(&mut self, reply: ReplyId, response: Response) {
         self.effects.push(Effect::User { reply, response });
@@ -96,7 +92,7 @@
     }
 
     /// Asks for a proof unless the state service is away anyway.
-    fn ask_fresh(&mut self, after: After) {
+    pub(super) fn ask_fresh(&mut self, after: After) {
         if self.without_store() > STORE_LOST || !self.synced {
             self.not_proved(after);
         } else {
@@ -111,44 +107,6 @@
         }
     }
 
-    pub(super) fn on_abort(&mut self, reply: ReplyId, job: JobId) {
-        match self.jobs.state(&job) {
-            Some(state) if is_final(&state) => self.tell(reply, Response::State(state)),
-            Some(_) => self.abort_known(reply, job),
-            None => self.ask_fresh(After::Abort { reply, job }),
-        }
-    }
-
-    fn abort_known(&mut self, reply: ReplyId, id: JobId) {
-        let Some(job) = self.jobs.get(&id) else {
-            return self.tell(reply, Response::later());
-        };
-        let record = JobRecord {
-            phase: Phase::Aborted,
-            ..job.record.clone()
-        };
-        let mut txn = Txn::default();
-        txn.require(job_key(&id), job.version);
-        txn.put(job_key(&id), &record);
-        self.transact(Class::Users, txn, Purpose::Abort { reply, job: id });
-    }
-
-    pub(super) fn on_aborted(&mut self, reply: ReplyId, job: JobId, answer: Answer) {
-        match answer {
-            Answer::Committed(_) => match self.jobs.state(&job) {
-                Some(state) => self.tell(reply, Response::State(state)),
-                None => self.tell(reply, Response::later()),
-            },
-            Answer::Conflict(revision) => {
-                self.fresh
-                    .waiting
-                    .push((revision, After::Abort { reply, job }));
-                self.proved();
-            }
-            _ => self.tell(reply, Response::later()),
-        }
-    }
-
     /// The cache is as new as the request now.
     pub(super) fn go_on(&mut self, after: After) {
         match after {
@@ -164,6 +122,7 @@
                 Some(state) if is_final(&state) => self.tell(reply, Response::State(state)),
                 Some(_) => self.abort_known(reply, job),
             },
+            After::Clear { job } => self.clear(&job),
             After::Settle { job } => self.settle(&job),
         }
     }
@@ -174,6 +133,7 @@
                 tracing::debug!(%job, "can't tell how new the cache is");
                 self.tell(reply, Response::later());
             }
+            After::Clear { job } => self.clear(&job),
             // A transaction's fate must become known, however long it takes.
             settle @ After::Settle { .. } => self.fresh.next.push((self.now, settle)),
         }
--- /dev/null
+++ b/src/controller/zones.rs
@@ -0,0 +1,95 @@
+//! Zones in trouble, as the controller meets them.
+
+use std::collections::BTreeMap;
+
+use super::Controller;
+use crate::jobs::Shape;
+use crate::lease::Own;
+use crate::types::{Baton, BlockId, HostId, NodeId, Token, Zone};
+use crate::workers::wire::ReportAnswer;
+use crate::zones::keep::{Circumstances, may_renew};
+use crate::zones::silence::{Seen, Suspect, Worth};
+
+impl Controller {
+    /// What workers are told of a token that we hold.
+    pub(super) fn baton(&self, token: Token) -> Baton {
+        if self.keeping.on() {
+            Baton::keeping(token)
+        } else {
+            Baton::of(token)
+        }
+    }
+
+    /// Keeps our machines at work once we are cut off with them.
+    pub(super) fn keep_zone(&mut self) {
+        let over = matches!(self.leases.own, Own::Held { until, .. } if until < self.now);
+        let seen = Circumstances {
+            lease_over: over && self.synced,
+            outage: over && self.outage_is_common(),
+            holds: self.leases.blocks.values().any(|(h, _)| *h == self.me),
+        };
+        if self.keeping.begins(seen, self.now) {
+            tracing::info!("cut off: keeping our machines at work");
+            // Before we might crash: only marked machines may be renewed by others then.
+            self.fence();
+        }
+    }
+
+    /// The state service is there again. Our tokens are marked as keeping, under which silence
+    /// proves nothing, so they are given up.
+    pub(super) fn leave_keeping(&mut self) {
+        if let Some(kept) = self.keeping.end(self.now) {
+            tracing::info!(kept_s = kept.secs(), "the state service is there again");
+            self.ended_old = false;
+            self.leases.lose(&self.me);
+        }
+    }
+
+    /// A worker whose holder keeps it came to us instead: its lease is renewed, and that is all.
+    pub(super) fn keep_for_others(&self, block: &BlockId, baton: Baton) -> Option<ReportAnswer> {
+        let cut_off = !self.synced || self.keeping.on();
+        let holder = self.leases.blocks.get(block).map(|(holder, _)| holder);
+        let speaks = holder.is_some_and(|holder| self.speaks(holder));
+        let renews = self.may_answer() && may_renew(baton, cut_off, speaks);
+        renews.then(|| ReportAnswer::Orders {
+            baton,
+            orders: Vec::new(),
+        })
+    }
+
+    /// Takes in how each zone looks to the leader now.
+    pub(super) fn observe_zones(&mut self, zones: BTreeMap<Zone, Seen>) {
+        for (zone, mut seen) in zones {
+            let members = self.settings.members.iter().map(|m| (&m.label, &m.zone));
+            let all = members.chain([(&self.me, &self.settings.zone)]);
+            let mut inside = all.filter(|(_, its)| **its == zone).peekable();
+            seen.controllers_silent = inside.peek().is_some()
+                && inside.all(|(label, _)| !self.leases.nodes.contains_key(label));
+            if let Some(standing) = self.zones.observe(&zone, seen, self.now) {
+                let (machines, silent) = (seen.machines, seen.silent);
+                tracing::info!(%zone, ?standing, machines, silent, "a zone stands otherwise");
+            }
+        }
+    }
+
+    /// A machine that is thought lost, and what would be lost with it.
+    pub(super) fn suspect(&self, host: &HostId, zone: &Zone) -> Suspect {
+        let jobs = self.jobs.on_host(host);
+        let worth = jobs.filter_map(|(id, _)| Some(self.jobs.get(id)?.spec.shape));
+        let worth = worth.map(|shape| match shape {
+            Shape::Array => Worth::Arrays,
+            Shape::Gang => Worth::Gangs,
+            Shape::Service => Worth::Replicas,
+        });
+        Suspect {
+            host: host.clone(),
+            zone: zone.clone(),
+            worth: worth.max().unwrap_or(Worth::Idle),
+        }
+    }
+
+    fn speaks(&self, node: &NodeId) -> bool {
+        let peer = self.peers.get(node);
+        peer.is_some_and(|peer| self.now.since(peer.heard) <= super::reports::WORD_HOLDS)
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -172,13 +172,13 @@
             Effect::Direct {
                 host,
                 address,
-                token,
+                baton,
                 session,
                 orders,
             } => {
                 let (workers, answers) = (self.workers.clone(), self.from_workers.clone());
                 tokio::spawn(async move {
-                    let answer = client::send(workers, address, token, session, orders).await;
+                    let answer = client::send(workers, address, baton, session, orders).await;
                     let _ = answers.send((host, answer));
                 });
             }
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -15,7 +15,7 @@
 
 use crate::daemon::{Inbox, Request};
 use crate::jobs::api::{self, Response};
-use crate::types::{JobId, NodeId, Token};
+use crate::types::{Baton, JobId, NodeId};
 use crate::workers::wire::{LARGEST_REPORT, Order, Report, ReportAnswer};
 
 /// No request is worked on for longer: users wait 5 s, workers 4.
@@ -40,7 +40,7 @@
 
 #[derive(Serialize)]
 struct Orders {
-    baton: Token,
+    baton: Baton,
     orders: Vec<Order>,
 }
 
@@ -74,10 +74,7 @@
 
 fn worker_response(answer: ReportAnswer) -> HttpResponse {
     match answer {
-        ReportAnswer::Orders { token, orders } => {
-            let baton = token;
-            json(StatusCode::OK, &Orders { baton, orders })
-        }
+        ReportAnswer::Orders { baton, orders } => json(StatusCode::OK, &Orders { baton, orders }),
         ReportAnswer::Elsewhere(foreman) => {
             json(StatusCode::MISDIRECTED_REQUEST, &Foreman { foreman })
         }
--- a/src/jobs/api.rs
+++ b/src/jobs/api.rs
@@ -168,6 +168,10 @@
     pub running: u32,
 }
 
+pub fn is_final(state: &JobState) -> bool {
+    matches!(state.stage, Stage::Done | Stage::Aborted)
+}
+
 /// What a user is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Response {
--- a/src/jobs/cache.rs
+++ b/src/jobs/cache.rs
@@ -219,8 +219,8 @@
         let stage = match self.record.phase {
             Phase::Done => Stage::Done,
             Phase::Aborted => Stage::Aborted,
-            Phase::Active if self.placed > 0 => Stage::Running,
-            Phase::Active => Stage::Queued,
+            Phase::Active | Phase::Aborting if self.placed > 0 => Stage::Running,
+            Phase::Active | Phase::Aborting => Stage::Queued,
         };
         JobState {
             id: self.id.clone(),
@@ -236,6 +236,7 @@
 pub struct Over {
     pub phase: Phase,
     pub tasks: u32,
+    version: Revision,
 }
 
 /// What a fed record touched.
@@ -512,13 +513,21 @@
                 return Touched::default();
             }
         };
-        if self.jobs.get(id).is_some_and(|job| job.version >= version) {
+        let known = self.jobs.get(id).map(|job| job.version);
+        // The answer to a transaction of ours may come after the watch has brought what followed.
+        let known = known.or(self.over.get(id).map(|over| over.version));
+        if known.is_some_and(|known| known >= version) {
             return Touched::default();
         }
         let Some(spec) = record.spec.clone() else {
             self.forget(id);
             let (phase, tasks) = (record.phase, record.tasks);
-            self.over.insert(id.clone(), Over { phase, tasks });
+            let over = Over {
+                phase,
+                tasks,
+                version,
+            };
+            self.over.insert(id.clone(), over);
             return Touched::default();
         };
         match self.jobs.get_mut(id) {
@@ -792,6 +801,34 @@
         (jobs, id)
     }
 
+    /// The answer to a cancellation came after the watch had brought the job's end: the job was
+    /// taken up again from the older record, and its users were told that it is queued.
+    #[test]
+    fn an_older_record_does_not_bring_a_job_back_that_is_over() {
+        let (mut jobs, id) = jobs(1, &[]);
+        let record = |phase, over: bool| {
+            let job = jobs.get(&id).unwrap();
+            let spec = (!over).then(|| job.spec.clone());
+            let record = JobRecord {
+                phase,
+                spec,
+                ..job.record.clone()
+            };
+            serde_json::to_string(&record).unwrap()
+        };
+        let aborting = record(Phase::Aborting, false);
+        let aborted = record(Phase::Aborted, true);
+        let steps = [
+            (&aborting, 20, Stage::Queued),
+            (&aborted, 30, Stage::Aborted),
+            (&aborting, 20, Stage::Aborted),
+        ];
+        for (text, version, expected) in steps {
+            jobs.feed(&job_key(&id), Some(text), Revision(version), Millis(1));
+            assert_eq!(jobs.state(&id).unwrap().stage, expected, "at {version}");
+        }
+    }
+
     #[test]
     fn the_next_tasks_to_place_are_found_over_pages() {
         let waits = |tried| Task::Waiting {
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod api;
 pub mod cache;
+pub mod cancel;
 pub mod record;
 
 use serde::{Deserialize, Serialize};
@@ -125,6 +126,8 @@
 #[serde(rename_all = "snake_case")]
 pub enum Phase {
     Active,
+    /// Its user has cancelled it, and is told so once no task of it is left anywhere.
+    Aborting,
     Done,
     Aborted,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod store;
 pub mod types;
 pub mod workers;
+pub mod zones;
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -6,7 +6,7 @@
 use bitcode::{Decode, Encode};
 
 /// Spoken by both ends or not at all.
-pub const VERSION: u32 = 3;
+pub const VERSION: u32 = 4;
 
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum Message {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -152,6 +152,10 @@
     pub stop_before: Millis,
     pub blocks_per_zone: u32,
     pub idle_return: Millis,
+    /// How long a controller that is cut off keeps its machines at work.
+    pub keep: Millis,
+    /// How long the machines of a zone that is cut off are left alone by the leader.
+    pub hold: Millis,
     /// The file of the tree of nested quotas.
     pub tree: Option<PathBuf>,
 }
@@ -166,6 +170,8 @@
             stop_before: Millis(1_500),
             blocks_per_zone: 2,
             idle_return: Millis(20_000),
+            keep: Millis(900_000),
+            hold: Millis(180_000),
             tree: None,
         }
     }
@@ -195,6 +201,12 @@
     ("fleet", "idle_return_s", 0.0, 86_400.0, |o, v| {
         o.idle_return = Millis::from_secs(v)
     }),
+    ("zones", "keep_s", 5.0, 86_400.0, |o, v| {
+        o.keep = Millis::from_secs(v)
+    }),
+    ("zones", "hold_s", 0.0, 86_400.0, |o, v| {
+        o.hold = Millis::from_secs(v)
+    }),
 ];
 
 impl Operator {
--- a/src/types.rs
+++ b/src/types.rs
@@ -103,6 +103,11 @@
     /// What entitles a holder to command a machine: the revision at which its block was taken.
     Token
 );
+number_type!(
+    /// What workers see of a token: twice the token, and one more while its holder keeps machines
+    /// alive that are cut off together with it.
+    Baton
+);
 number_type!(
     /// A lease of the state service.
     Permit
@@ -124,6 +129,25 @@
     TxnId
 );
 
+impl Baton {
+    pub fn of(token: Token) -> Self {
+        Self(token.0 * 2)
+    }
+
+    /// Obeyed after `of` the same token, and before any later one.
+    pub fn keeping(token: Token) -> Self {
+        Self(token.0 * 2 + 1)
+    }
+
+    pub fn token(self) -> Token {
+        Token(self.0 / 2)
+    }
+
+    pub fn keeps(self) -> bool {
+        self.0 % 2 == 1
+    }
+}
+
 /// Milliseconds of this process's steady clock.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Millis(pub u64);
--- a/src/workers/client.rs
+++ b/src/workers/client.rs
@@ -9,13 +9,13 @@
 use super::wire::{Order, Report};
 use crate::controller::DirectAnswer;
 use crate::http_client::HttpClient;
-use crate::types::{Session, Token};
+use crate::types::{Baton, Session};
 
 const LIMIT: Duration = Duration::from_secs(3);
 
 #[derive(Serialize)]
 struct Body<'a> {
-    baton: Token,
+    baton: Baton,
     shift: Session,
     orders: &'a [Order],
 }
@@ -24,12 +24,12 @@
 pub async fn send(
     client: HttpClient,
     address: SocketAddr,
-    token: Token,
+    baton: Baton,
     session: Session,
     orders: Vec<Order>,
 ) -> Option<DirectAnswer> {
     let body = Body {
-        baton: token,
+        baton,
         shift: session,
         orders: &orders,
     };
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -10,7 +10,8 @@
 use rustc_hash::{FxHashMap as HashMap, FxHashSet as HashSet};
 
 use crate::types::{
-    Attempt, BlockId, HostId, Image, JobId, Millis, NodeId, Session, Sku, TaskId, Token, Zone,
+    Attempt, Baton, BlockId, HostId, Image, JobId, Millis, NodeId, Session, Sku, TaskId, Token,
+    Zone,
 };
 use wire::{Cause, Report, TaskStage};
 
@@ -40,7 +41,7 @@
     pub session: Session,
     pub tally: u64,
     /// The token that the worker had seen when it last reported to us.
-    pub baton: Token,
+    pub baton: Baton,
     /// When the last report was received that we answered under a token of ours, and that token.
     pub answered: Option<(Token, Millis)>,
     /// When anybody last heard from the worker.
@@ -122,7 +123,7 @@
             block,
             session: Session(0),
             tally: 0,
-            baton: Token(0),
+            baton: Baton(0),
             answered: None,
             heard: Millis(0),
             heard_by: by,
--- a/src/workers/reconcile.rs
+++ b/src/workers/reconcile.rs
@@ -50,7 +50,7 @@
     gathering: impl Fn(&Job) -> bool,
 ) -> Outcome {
     let mut out = Outcome::default();
-    if machine.baton < token {
+    if machine.baton.token() < token {
         return out;
     }
     let mut settled: HashSet<&TaskId> = HashSet::default();
@@ -186,7 +186,7 @@
     use crate::jobs::Shape;
     use crate::jobs::api::{parse, tests::body};
     use crate::jobs::record::{JobRecord, encode_page, job_key, page_key};
-    use crate::types::{BlockId, Millis, Revision, Session};
+    use crate::types::{Baton, BlockId, Millis, Revision, Session};
     use crate::workers::Seen;
 
     /// A gang placed on one machine with its image and fifteen without: the first waited alone for
@@ -243,7 +243,7 @@
             let (host, block) = (HostId::from("vm-1"), BlockId::parse("a.0").unwrap());
             let (rig, zone) = ("g8".into(), "a".into());
             let mut machine = Machine::new(host, rig, zone, false, block, "n0".into());
-            (machine.session, machine.baton) = (Session(1), Token(4));
+            (machine.session, machine.baton) = (Session(1), Baton::of(Token(4)));
             let seen = Seen {
                 attempt: tried,
                 stage: TaskStage::Exited,
@@ -331,7 +331,7 @@
             let host = HostId::from("vm-1");
             let (rig, zone) = ("g8".into(), "a".into());
             let mut machine = Machine::new(host, rig, zone, false, block.clone(), "n0".into());
-            (machine.session, machine.baton) = (Session(1), Token(4));
+            (machine.session, machine.baton) = (Session(1), Baton::of(Token(4)));
             way(&mut machine, (task.clone(), attempt));
             let outcome = reconcile(&machine, Token(4), &jobs, &stops, |_| false);
             assert_eq!(!outcome.changes.is_empty(), gone, "{name}");
--- a/src/workers/wire.rs
+++ b/src/workers/wire.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::types::{Attempt, HostId, NodeId, Session, Sku, TaskId, Token, Zone};
+use crate::types::{Attempt, Baton, HostId, NodeId, Session, Sku, TaskId, Zone};
 
 /// A worker's report may list this many bytes of tasks at the most.
 pub const LARGEST_REPORT: usize = 1 << 20;
@@ -17,7 +17,7 @@
     pub loaners: bool,
     pub shift: Session,
     pub tally: u64,
-    pub baton: Token,
+    pub baton: Baton,
     #[serde(rename = "warningS", default)]
     pub warning_s: Option<f64>,
     #[serde(default)]
@@ -153,7 +153,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum ReportAnswer {
     Orders {
-        token: Token,
+        baton: Baton,
         orders: Vec<Order>,
     },
     /// 421: report to that controller, or to the next.
