A budget of sockets, a door before the server, requests nobody waits for dropped

A controller that held all blocks took two sockets a machine: 2,262 of 2,262 at 1.7 times the fleet's machines, and the system refused workers, users and the state service alike.

- The platform's limit is divided: state service, cloud and peers; direct orders; the server.
The server's connections are counted by what they ask; above marks answers end their connection, idle users go first, half-open and slow ones are closed, and no more than a part is users' or says nothing.
- What waits for the controller goes by kind, newest first when late, and not at all once given up.
- Every channel is bounded, or says why no more can wait in it.
- Whole controllers also play a zone without power, half a zone cut, and deletions while a cut ends.

--- a/crates/region/src/sim.rs
+++ b/crates/region/src/sim.rs
@@ -10,7 +10,7 @@
 use jaspertiller::jobs::Shape;
 use jaspertiller::jobs::api::{self, Response, Stage};
 use jaspertiller::peers::Message;
-use jaspertiller::settings::Settings;
+use jaspertiller::settings::{Operator, Settings};
 use jaspertiller::store::{Answer, Call};
 use jaspertiller::types::{Baton, HostId, JobId, Millis, NodeId, ReplyId, Revision, Session, Zone};
 use jaspertiller::workers::wire::{Order, ReportAnswer};
@@ -225,6 +225,23 @@
         }
     }
 
+    /// Every machine of a zone stops.
+    pub fn lose_power(&mut self, zone: &str) {
+        let hosts = self.machines.hosts.iter();
+        let inside = hosts.filter(|(_, m)| m.zone.as_str() == zone);
+        let inside: Vec<HostId> = inside.map(|(host, _)| host.clone()).collect();
+        for host in inside {
+            self.machines.kill(&host, Millis(self.now));
+        }
+    }
+
+    /// Has all controllers that start from now on run with other settings of the operator's.
+    pub fn operate(&mut self, change: fn(&mut Operator)) {
+        for settings in &mut self.settings {
+            change(&mut Arc::make_mut(settings).operator);
+        }
+    }
+
     /// These machines reach nobody for a while.
     pub fn cut_workers(&mut self, indices: &[usize], from: u64, until: u64) {
         self.run_until(from);
--- a/crates/region/tests/cluster/main.rs
+++ b/crates/region/tests/cluster/main.rs
@@ -187,6 +187,30 @@
             }
         },
     },
+    Day {
+        name: "a zone loses its power, its controllers with it",
+        plan: |w| {
+            w.crash(1, 20_000, 70_000);
+            w.crash(3, 20_000, 70_000);
+            w.run_until(20_000);
+            w.lose_power("b");
+        },
+    },
+    Day {
+        name: "half a zone is cut off, then the other half",
+        plan: |w| {
+            w.cut_workers(&[0, 2, 4, 6], 18_000, 58_000);
+            w.cut_workers(&[1, 3, 5, 7], 45_000, 80_000);
+        },
+    },
+    Day {
+        name: "a silent zone is given up while its cut ends",
+        plan: |w| {
+            w.operate(|operator| operator.hold = Millis(1_000));
+            w.zone_cuts.push(zone_cut("b", 18, 34, true));
+            w.zone_cuts.push(zone_cut("a", 70, 33, true));
+        },
+    },
     Day {
         name: "one zone is cut off after the other, in an outage too",
         plan: |w| {
@@ -305,6 +329,23 @@
     }
 }
 
+/// From the 35th second of a cut on, nearly all machines of a zone were deleted, most at work.
+#[test]
+fn a_zone_that_is_cut_off_for_a_minute_keeps_its_machines() {
+    for seed in 1..=4 {
+        let mut world = world(seed);
+        world.zone_cuts.push(zone_cut("b", 20, 60, true));
+        world.run_until(79_900);
+        assert_eq!(world.cloud.deleted_at_work, 0, "seed {seed}");
+        // The services hold room that others of their team wait for.
+        for index in [2, 9] {
+            world.abort_at(90_000, index);
+        }
+        world.run_until(240_000);
+        assert!(world.unfinished().is_empty(), "seed {seed}");
+    }
+}
+
 /// The checks of the world can fail: without a guard some day breaks a rule.
 #[test]
 fn without_a_guard_rules_break() {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -8,17 +8,19 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::clock::Clock;
-use crate::controller::{Controller, DirectAnswer, Effect, Event};
+use crate::controller::{Controller, Effect, Event};
 use crate::fleet::client::{Cloud, CloudReply};
 use crate::http_client::HttpClient;
 use crate::http_server;
+use crate::intake::{Intake, Kind};
 use crate::jobs::Spec;
 use crate::jobs::api::{Refusal, Response};
 use crate::peers::link::{PeerMessage, Peers};
 use crate::settings::Settings;
+use crate::sockets::{Budget, Patience};
 use crate::store::{Store, StoreAnswer};
-use crate::types::{HostId, JobId, ReplyId};
-use crate::workers::client;
+use crate::types::{JobId, Millis, ReplyId};
+use crate::workers::direct::{Direct, Errand, Outcome, What};
 use crate::workers::wire::{Report, ReportAnswer};
 
 const TICK: Duration = Duration::from_millis(100);
@@ -46,7 +48,33 @@
     },
 }
 
-pub type Inbox = mpsc::UnboundedSender<Request>;
+impl Request {
+    fn kind(&self) -> Kind {
+        match self {
+            Request::Ready { .. } => Kind::Probe,
+            Request::Report { .. } => Kind::Report,
+            Request::Submit { .. } | Request::Poll { .. } | Request::Abort { .. } => Kind::User,
+        }
+    }
+
+    /// Whether its asker has given up.
+    fn given_up(&self) -> bool {
+        match self {
+            Request::Submit { reply, .. }
+            | Request::Poll { reply, .. }
+            | Request::Abort { reply, .. } => reply.is_closed(),
+            Request::Report { reply, .. } => reply.is_closed(),
+            Request::Ready { reply } => reply.is_closed(),
+        }
+    }
+}
+
+pub type Inbox = mpsc::Sender<Request>;
+
+/// Messages of other controllers that wait to be read.
+const PEERS_WAIT: usize = 64;
+/// The most requests of a kind that wait.
+const MOST_WAITING: usize = 4_096;
 
 /// Answers that are still owed.
 enum Owed {
@@ -61,9 +89,7 @@
     store: Store,
     cloud: Cloud,
     peers: Peers,
-    workers: HttpClient,
-    inspections: mpsc::UnboundedSender<bool>,
-    from_workers: mpsc::UnboundedSender<(HostId, Option<DirectAnswer>)>,
+    workers: Direct,
     owed: HashMap<ReplyId, Owed>,
     next_reply: u64,
 }
@@ -71,28 +97,37 @@
 pub async fn run(settings: Settings) -> anyhow::Result<()> {
     let settings = Arc::new(settings);
     let clock = Clock::start();
+    // No more answers wait than calls were made, and the controller bounds those.
     let (store_answers, mut from_store) = mpsc::unbounded_channel::<StoreAnswer>();
     let (cloud_answers, mut from_cloud) = mpsc::unbounded_channel::<CloudReply>();
-    let (peer_messages, mut from_peers) = mpsc::unbounded_channel::<PeerMessage>();
-    let (inspections, mut inspected) = mpsc::unbounded_channel();
-    let (from_workers, mut direct_answers) = mpsc::unbounded_channel();
-    let (inbox, mut requests) = mpsc::unbounded_channel::<Request>();
+    let (peer_messages, mut from_peers) = mpsc::channel::<PeerMessage>(PEERS_WAIT);
+    // One for each machine at the most.
+    let (outcomes, mut from_workers) = mpsc::unbounded_channel();
+    let (inbox, mut requests) = mpsc::channel::<Request>(MOST_WAITING);
+    let budget = Budget::new(settings.deployment.quota.sockets, settings.members.len());
+    let to_workers = HttpClient::without_idle(settings.public_addr);
     let mut daemon = Daemon {
         controller: Controller::new(settings.clone(), rand::random()),
         clock,
         store: Store::start(&settings, clock, store_answers),
         cloud: Cloud::start(&settings, clock, cloud_answers),
-        peers: Peers::start(&settings, peer_messages),
-        workers: HttpClient::new(settings.public_addr),
-        from_workers,
-        inspections,
+        peers: Peers::start(&settings, budget.peers, peer_messages),
+        workers: Direct::start(to_workers, budget.direct, clock, outcomes),
         owed: HashMap::new(),
         next_reply: 0,
     };
-    let mut server = tokio::spawn(http_server::serve(settings.public_addr, inbox));
+    let report = Millis::from_secs(settings.deployment.workers.report_s);
+    let patience = Patience::for_reports_every(report);
+    let serving = http_server::serve(settings.public_addr, inbox, budget.server, patience, clock);
+    let mut server = tokio::spawn(serving);
+    let mut intake = Intake::new(MOST_WAITING);
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
+        while let Ok(request) = requests.try_recv() {
+            // Its sender learns that it is dropped.
+            intake.push(request.kind(), request, daemon.clock.now());
+        }
         // What leases and answers depend on goes first when there is more to do than time.
         tokio::select! {
             biased;
@@ -107,11 +142,20 @@
             Some(PeerMessage { from, message }) = from_peers.recv() => {
                 daemon.handle(Event::Peer { from, message });
             }
-            Some(answered) = inspected.recv() => daemon.handle(Event::Inspected { answered }),
-            Some((host, answer)) = direct_answers.recv() => {
-                daemon.handle(Event::Direct { host, answer });
+            Some(outcome) = from_workers.recv() => match outcome {
+                Outcome::Inspected(answered) => daemon.handle(Event::Inspected { answered }),
+                Outcome::Direct(host, answer) => daemon.handle(Event::Direct { host, answer }),
+            },
+            () = std::future::ready(()), if !intake.is_empty() => {
+                if let Some(request) = intake.pop(daemon.clock.now(), &mut Vec::new())
+                    && !request.given_up()
+                {
+                    daemon.request(request);
+                }
+            }
+            Some(request) = requests.recv() => {
+                intake.push(request.kind(), request, daemon.clock.now());
             }
-            Some(request) = requests.recv() => daemon.request(request),
         }
     }
 }
@@ -162,11 +206,11 @@
         match effect {
             Effect::Store { tag, class, call } => self.store.send(tag, class, call),
             Effect::Inspect { host, address } => {
-                let (workers, answers) = (self.workers.clone(), self.inspections.clone());
-                tokio::spawn(async move {
-                    let answered = client::inspect(workers, address).await;
-                    tracing::debug!(%host, answered, "inspected");
-                    let _ = answers.send(answered);
+                let what = What::Inspect;
+                self.workers.send(Errand {
+                    host,
+                    address,
+                    what,
                 });
             }
             Effect::Direct {
@@ -176,10 +220,15 @@
                 session,
                 orders,
             } => {
-                let (workers, answers) = (self.workers.clone(), self.from_workers.clone());
-                tokio::spawn(async move {
-                    let answer = client::send(workers, address, baton, session, orders).await;
-                    let _ = answers.send((host, answer));
+                let what = What::Orders {
+                    baton,
+                    session,
+                    orders,
+                };
+                self.workers.send(Errand {
+                    host,
+                    address,
+                    what,
                 });
             }
             Effect::Cloud { tag, call } => self.cloud.send(tag, call),
--- a/src/fleet/client.rs
+++ b/src/fleet/client.rs
@@ -35,6 +35,7 @@
         clock: Clock,
         answers: mpsc::UnboundedSender<CloudReply>,
     ) -> Self {
+        // The leader makes a few calls a second, and none for what is under way.
         let (inbox, mut calls) = mpsc::unbounded_channel::<(u64, CloudCall)>();
         let client = HttpClient::new(settings.outside.cloud);
         let mut left = Bucket::new(settings.deployment.cloud.rps * SHARE, clock.now());
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -28,13 +28,24 @@
 }
 
 impl HttpClient {
+    /// Keeps connections for the next request.
     pub fn new(address: SocketAddr) -> Self {
+        Self::keeping(address, usize::MAX)
+    }
+
+    /// Has no more connections than requests under way.
+    pub fn without_idle(address: SocketAddr) -> Self {
+        Self::keeping(address, 0)
+    }
+
+    fn keeping(address: SocketAddr, idle: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_millis(1_500)));
         let inner = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from_secs(20))
+            .pool_max_idle_per_host(idle)
             .retry_canceled_requests(false)
             .build(connector);
         let base = format!("http://{address}");
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -7,19 +7,24 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
+use hyper_util::service::TowerToHyperService;
 use serde::Serialize;
 use tokio::sync::oneshot;
 use warp::http::StatusCode;
 use warp::reply::Response as HttpResponse;
 use warp::{Filter, Reply};
 
+use crate::clock::Clock;
 use crate::daemon::{Inbox, Request};
 use crate::jobs::api::{self, Response};
+use crate::sockets::{Patience, door};
 use crate::types::{Baton, JobId, NodeId};
 use crate::workers::wire::{LARGEST_REPORT, Order, Report, ReportAnswer};
 
 /// No request is worked on for longer: users wait 5 s, workers 4.
 const ANSWER_LIMIT: Duration = Duration::from_millis(3_800);
+/// A body that is not there by then is not waited for.
+const BODY_LIMIT: Duration = Duration::from_secs(3);
 
 #[derive(Serialize)]
 struct Reason<'a> {
@@ -85,7 +90,8 @@
 /// Asks the controller and waits for its answer.
 async fn ask<T>(inbox: &Inbox, request: impl FnOnce(oneshot::Sender<T>) -> Request) -> Option<T> {
     let (sender, receiver) = oneshot::channel();
-    inbox.send(request(sender)).ok()?;
+    // If too many wait, the asker is told at once to come back.
+    inbox.try_send(request(sender)).ok()?;
     tokio::time::timeout(ANSWER_LIMIT, receiver)
         .await
         .ok()?
@@ -120,7 +126,7 @@
     } else {
         reason(
             StatusCode::BAD_REQUEST,
-            "the body is too large, or ended early",
+            "the body is too large, too slow, or ended early",
         )
     })
 }
@@ -143,17 +149,31 @@
 ) -> Result<Bytes, warp::Rejection> {
     let mut stream = std::pin::pin!(stream);
     let mut body = BytesMut::new();
-    while let Some(part) = stream.next().await {
-        let part = part.map_err(|_| warp::reject::custom(TooLarge))?;
-        if body.len() + part.remaining() > limit {
-            return Err(warp::reject::custom(TooLarge));
+    let whole = async {
+        while let Some(part) = stream.next().await {
+            let part = part.ok()?;
+            if body.len() + part.remaining() > limit {
+                return None;
+            }
+            body.put(part);
         }
-        body.put(part);
+        Some(())
+    };
+    // One that sends a byte a second would keep its connection for hours.
+    match tokio::time::timeout(BODY_LIMIT, whole).await {
+        Ok(Some(())) => Ok(body.freeze()),
+        _ => Err(warp::reject::custom(TooLarge)),
     }
-    Ok(body.freeze())
 }
 
-pub async fn serve(address: SocketAddr, inbox: Inbox) -> anyhow::Result<()> {
+/// Serves `most` connections at a time.
+pub async fn serve(
+    address: SocketAddr,
+    inbox: Inbox,
+    most: usize,
+    patience: Patience,
+    clock: Clock,
+) -> anyhow::Result<()> {
     let inbox = Arc::new(inbox);
     let inbox = warp::any().map(move || Inbox::clone(&inbox));
     let body = || bounded(api::LARGEST_BODY);
@@ -207,9 +227,7 @@
         .unify();
     let listener = tokio::net::TcpListener::bind(address).await?;
     tracing::info!(%address, "serving");
-    warp::serve(routes.recover(rejected))
-        .incoming(listener)
-        .run()
-        .await;
+    let service = TowerToHyperService::new(warp::service(routes.recover(rejected)));
+    door::serve(listener, service, || later(1), most, patience, clock).await;
     Ok(())
 }
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -2,11 +2,12 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 use tokio::time::Instant;
 
 use super::{LARGEST_FRAME, Message, VERSION};
@@ -23,6 +24,8 @@
 const ACK_LIMIT: Duration = Duration::from_secs(3);
 /// Each controller sends a status every second; silence for this long ends a connection.
 const READ_LIMIT: Duration = Duration::from_secs(10);
+/// Whoever connects says at once who it is.
+const HELLO_LIMIT: Duration = Duration::from_secs(3);
 
 pub struct PeerMessage {
     pub from: NodeId,
@@ -36,9 +39,11 @@
 }
 
 impl Peers {
-    pub fn start(settings: &Settings, inbox: mpsc::UnboundedSender<PeerMessage>) -> Self {
+    /// Takes `most` connections from others. What they say waits for its turn: a sender that is not
+    /// acknowledged in time starts anew.
+    pub fn start(settings: &Settings, most: usize, inbox: mpsc::Sender<PeerMessage>) -> Self {
         let me = settings.label.clone();
-        tokio::spawn(listen(settings.peer_bind, inbox));
+        tokio::spawn(listen(settings.peer_bind, most, inbox));
         let out = settings
             .members
             .iter()
@@ -141,7 +146,8 @@
     }
 }
 
-async fn listen(address: SocketAddr, inbox: mpsc::UnboundedSender<PeerMessage>) {
+async fn listen(address: SocketAddr, most: usize, inbox: mpsc::Sender<PeerMessage>) {
+    let room = Arc::new(Semaphore::new(most));
     let listener = loop {
         match TcpListener::bind(address).await {
             Ok(listener) => break listener,
@@ -154,7 +160,14 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(hear(stream, inbox.clone()));
+                let Ok(place) = room.clone().try_acquire_owned() else {
+                    continue;
+                };
+                let inbox = inbox.clone();
+                tokio::spawn(async move {
+                    hear(stream, inbox).await;
+                    drop(place);
+                });
             }
             Err(error) => {
                 tracing::error!(%error, "can't accept another controller");
@@ -164,8 +177,9 @@
     }
 }
 
-async fn hear(mut stream: TcpStream, inbox: mpsc::UnboundedSender<PeerMessage>) {
-    let from = match read_frame(&mut stream).await {
+async fn hear(mut stream: TcpStream, inbox: mpsc::Sender<PeerMessage>) {
+    let hello = tokio::time::timeout(HELLO_LIMIT, read_frame(&mut stream)).await;
+    let from = match hello.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into())) {
         Ok(Message::Hello { version, label }) if version == VERSION => NodeId::from(label),
         Ok(Message::Hello { version, label }) => {
             tracing::error!(version, label, "another controller speaks another version");
@@ -187,7 +201,7 @@
         match read_frame(&mut stream).await {
             Ok(message) => {
                 let from = from.clone();
-                let heard = inbox.send(PeerMessage { from, message }).is_ok();
+                let heard = inbox.send(PeerMessage { from, message }).await.is_ok();
                 if !heard || stream.write_all(&[ACK]).await.is_err() {
                     return;
                 }
@@ -217,7 +231,7 @@
             let job = job.to_string();
             sender.send(Message::Unplaced { job }).await.unwrap();
         }
-        let (inbox, mut heard) = mpsc::unbounded_channel();
+        let (inbox, mut heard) = mpsc::channel(BACKLOG);
         tokio::spawn(async move {
             // The first connection stays open and mute.
             let _mute = mute;
--- /dev/null
+++ b/src/sockets/door.rs
@@ -0,0 +1,221 @@
+//! The actor that owns the connections of our server: it lets them in within the budget, and ends
+//! those that only stand there.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::time::Duration;
+
+use http::{HeaderValue, Request, Response, header};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::{Service, service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::{Id, JoinSet};
+
+use super::{Class, Ledger, Patience, Pressure};
+use crate::clock::Clock;
+
+/// A request's head has to come within this time, whatever the connection did before.
+const HEAD: Duration = Duration::from_secs(30);
+/// A connection that is ended gets so long to send what it has.
+const LAST: Duration = Duration::from_secs(1);
+const SWEEP: Duration = Duration::from_millis(500);
+/// After the system refused a connection.
+const REFUSED: Duration = Duration::from_millis(50);
+
+/// What a connection tells the door.
+enum Told {
+    Asked(Id, Class),
+    Answered(Id),
+}
+
+struct Door<S> {
+    listener: TcpListener,
+    service: S,
+    clock: Clock,
+    ledger: Ledger<Id>,
+    ends: HashMap<Id, oneshot::Sender<()>>,
+    tasks: JoinSet<()>,
+    tell: mpsc::Sender<Told>,
+    told: mpsc::Receiver<Told>,
+    pressure: watch::Sender<Pressure>,
+    turned_away: u64,
+}
+
+/// Serves connections, `most` of them at a time. `busy` is the answer when there is no room for
+/// users' requests.
+pub async fn serve<S, B>(
+    listener: TcpListener,
+    service: S,
+    busy: fn() -> Response<B>,
+    most: usize,
+    patience: Patience,
+    clock: Clock,
+) where
+    S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>
+        + Clone
+        + Send
+        + Sync
+        + 'static,
+    S::Future: Send,
+    B: hyper::body::Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    // A connection tells one thing at a time and waits until it is taken.
+    let (tell, told) = mpsc::channel(256);
+    let door = Door {
+        listener,
+        service,
+        clock,
+        ledger: Ledger::new(most, patience),
+        ends: HashMap::new(),
+        tasks: JoinSet::new(),
+        tell,
+        told,
+        pressure: watch::Sender::new(Pressure::default()),
+        turned_away: 0,
+    };
+    door.run(busy).await;
+}
+
+impl<S> Door<S> {
+    async fn run<B>(mut self, busy: fn() -> Response<B>)
+    where
+        S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>
+            + Clone
+            + Send
+            + Sync
+            + 'static,
+        S::Future: Send,
+        B: hyper::body::Body + Send + 'static,
+        B::Data: Send,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let mut sweep = tokio::time::interval(SWEEP);
+        sweep.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                biased;
+                Some(ended) = self.tasks.join_next_with_id(), if !self.tasks.is_empty() => {
+                    let id = match ended {
+                        Ok((id, ())) => id,
+                        Err(error) => error.id(),
+                    };
+                    self.ledger.closed(id);
+                    self.ends.remove(&id);
+                }
+                Some(told) = self.told.recv() => {
+                    let now = self.clock.now();
+                    match told {
+                        Told::Asked(id, class) => self.ledger.asked(id, class, now),
+                        Told::Answered(id) => self.ledger.answered(id, now),
+                    }
+                }
+                _ = sweep.tick() => self.sweep(),
+                accepted = self.listener.accept() => match accepted {
+                    Ok((stream, _)) if self.ledger.admits() => {
+                        let (end, ended) = oneshot::channel();
+                        let gate = Gate {
+                            tell: self.tell.clone(),
+                            pressure: self.pressure.subscribe(),
+                        };
+                        let talk = converse(stream, self.service.clone(), gate, ended, busy);
+                        let id = self.tasks.spawn(talk).id();
+                        self.ledger.opened(id, self.clock.now());
+                        self.ends.insert(id, end);
+                    }
+                    // Whoever it is finds another controller sooner than we find room.
+                    Ok(_) => self.turned_away += 1,
+                    Err(error) => {
+                        tracing::error!(%error, "can't accept a connection");
+                        tokio::time::sleep(REFUSED).await;
+                    }
+                },
+            }
+            let pressure = self.ledger.pressure();
+            self.pressure.send_if_modified(|known| {
+                let changed = *known != pressure;
+                *known = pressure;
+                changed
+            });
+        }
+    }
+
+    fn sweep(&mut self) {
+        for id in self.ledger.idle(self.clock.now()) {
+            if let Some(end) = self.ends.remove(&id) {
+                // It may have ended just now.
+                let _ = end.send(());
+            }
+        }
+        if self.turned_away > 0 {
+            let open = self.ledger.len();
+            tracing::info!(
+                open,
+                turned_away = self.turned_away,
+                "connections are turned away"
+            );
+            self.turned_away = 0;
+        }
+    }
+}
+
+#[derive(Clone)]
+struct Gate {
+    tell: mpsc::Sender<Told>,
+    pressure: watch::Receiver<Pressure>,
+}
+
+async fn converse<S, B>(
+    stream: TcpStream,
+    service: S,
+    gate: Gate,
+    ended: oneshot::Receiver<()>,
+    busy: fn() -> Response<B>,
+) where
+    S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible> + Send + Sync,
+    S::Future: Send,
+    B: hyper::body::Body + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    // Answers are small; one that waits for more would wait for the other side's acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let id = tokio::task::id();
+    let service = service_fn(|request: Request<Incoming>| {
+        let class = Class::of(request.uri().path());
+        let full = class == Class::User && gate.pressure.borrow().users_full;
+        let asked = (!full).then(|| service.call(request));
+        let gate = &gate;
+        async move {
+            // The door ends only with the process.
+            let _ = gate.tell.send(Told::Asked(id, class)).await;
+            let mut response = match asked {
+                Some(asked) => asked.await?,
+                None => busy(),
+            };
+            if full || gate.pressure.borrow().closes(class) {
+                let headers = response.headers_mut();
+                headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
+            let _ = gate.tell.send(Told::Answered(id)).await;
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let mut connection = std::pin::pin!(
+        http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD)
+            .serve_connection(TokioIo::new(stream), service)
+    );
+    // How a connection ends is of no interest here.
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        _ = ended => {
+            connection.as_mut().graceful_shutdown();
+            let _ = tokio::time::timeout(LAST, connection).await;
+        }
+    }
+}
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -59,6 +59,8 @@
         clock: Clock,
         answers: mpsc::UnboundedSender<StoreAnswer>,
     ) -> Self {
+        // What the controller asks for is bounded: one call for a lease, watch, list or proof, three
+        // transactions of jobs, and one for each user who waits. Users' calls are refused after a while.
         let (inbox, requests) = mpsc::unbounded_channel();
         let now = clock.now();
         let (state, count) = (&settings.deployment.state, settings.controllers());
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -1,6 +1,7 @@
 //! Workers: what they report, what they are told, and the evidence of where a task is.
 
 pub mod client;
+pub mod direct;
 pub mod reconcile;
 pub mod wire;
 
--- /dev/null
+++ b/tests/crowded_door.rs
@@ -0,0 +1,108 @@
+//! The real server with a crowd before it that asks nothing, a byte a second, or only once:
+//! workers' reports, health checks and users' requests are answered all the same.
+
+use std::time::{Duration, Instant};
+
+use jaspertiller::clock::Clock;
+use jaspertiller::daemon::Request;
+use jaspertiller::http_client::HttpClient;
+use jaspertiller::http_server;
+use jaspertiller::jobs::api::Response;
+use jaspertiller::sockets::Patience;
+use jaspertiller::types::{Baton, Millis};
+use jaspertiller::workers::wire::ReportAnswer;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+const MOST: usize = 200;
+const CROWD: usize = 1_500;
+const ROUNDS: usize = 20;
+
+/// Answers whatever is asked.
+async fn answer(mut requests: mpsc::Receiver<Request>) {
+    while let Some(request) = requests.recv().await {
+        // Whoever asked may be gone.
+        let _ = match request {
+            Request::Report { reply, .. } => {
+                let (baton, orders) = (Baton(4), Vec::new());
+                reply.send(ReportAnswer::Orders { baton, orders }).is_ok()
+            }
+            Request::Ready { reply } => reply.send(true).is_ok(),
+            Request::Poll { reply, .. }
+            | Request::Submit { reply, .. }
+            | Request::Abort { reply, .. } => reply.send(Response::Unknown).is_ok(),
+        };
+    }
+}
+
+/// One of the crowd: half-open, slow, or idle after one request; it comes back when it is sent
+/// away.
+async fn stand_about(index: usize, address: std::net::SocketAddr) {
+    loop {
+        if let Ok(mut stream) = TcpStream::connect(address).await {
+            let head: &[u8] = match index % 3 {
+                0 => b"",
+                1 => b"POST /v1/report HTTP/1.1\r\nhost: a\r\ncontent-length: 900\r\n\r\n{",
+                _ => b"GET /api/jobs/job-1 HTTP/1.1\r\nhost: a\r\n\r\n",
+            };
+            let mut open = stream.write_all(head).await.is_ok();
+            while open && index % 3 == 1 {
+                tokio::time::sleep(Duration::from_secs(1)).await;
+                open = stream.write_all(b" ").await.is_ok();
+            }
+            let _ = stream.readable().await;
+            let mut rest = [0; 1_024];
+            while open {
+                open = !matches!(stream.try_read(&mut rest), Ok(0));
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+}
+
+#[tokio::test]
+async fn reports_and_probes_are_answered_before_a_crowd_that_only_stands_there() {
+    let free = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = free.local_addr().unwrap();
+    drop(free);
+    let (inbox, requests) = mpsc::channel(64);
+    tokio::spawn(answer(requests));
+    let patience = Patience {
+        new: Millis(500),
+        user: Millis(1_000),
+        report: Millis(2_000),
+    };
+    let clock = Clock::start();
+    tokio::spawn(http_server::serve(address, inbox, MOST, patience, clock));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    for index in 0..CROWD {
+        tokio::spawn(stand_about(index, address));
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let report = br#"{"host":"vm-1","address":"127.0.0.1:1","rig":"g8","yard":"a","loaners":false,
+        "shift":1,"tally":1,"baton":0,"picks":[]}"#;
+    let client = HttpClient::new(address);
+    let (mut answered, mut slowest) = (0, Duration::ZERO);
+    for _ in 0..ROUNDS {
+        // As a worker does: whoever turns it away is asked again.
+        for (method, path, body) in [
+            (http::Method::POST, "/v1/report", report.to_vec()),
+            (http::Method::GET, "/ready", Vec::new()),
+        ] {
+            let asked = Instant::now();
+            for _ in 0..200 {
+                let limit = Duration::from_secs(4);
+                let got = client.call(method.clone(), path, body.clone(), limit).await;
+                if got.is_ok_and(|(status, _)| status == 200) {
+                    answered += 1;
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            slowest = slowest.max(asked.elapsed());
+        }
+    }
+    assert_eq!(answered, 2 * ROUNDS, "slowest {slowest:?}");
+}
