tiller-region cuts: a zone cut off, kept and given up beside each other, with a page of plots

Four cases of the zone's controller, three durations, three sizes, in virtual time, checked against all rules; a table, and a page that needs no network.

--- a/crates/region/src/lib.rs
+++ b/crates/region/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cloud;
 pub mod config;
 pub mod contention;
+pub mod cuts;
 pub mod live;
 pub mod machines;
 pub mod rules;
--- a/crates/region/src/main.rs
+++ b/crates/region/src/main.rs
@@ -1,5 +1,6 @@
 //! `tiller-region`: a region on loopback to try the daemon in, and replays in virtual time.
 
+mod cut_report;
 mod demo;
 mod report;
 mod serve;
@@ -68,6 +69,12 @@
         #[arg(long, value_name = "FILE")]
         report: Option<PathBuf>,
     },
+    /// Replay cuts of a zone in virtual time, kept and given up beside each other
+    Cuts {
+        /// Writes a page with plots of the tasks that go on (HTML, needs no network)
+        #[arg(long, value_name = "FILE")]
+        report: Option<PathBuf>,
+    },
     /// Run the daemon's own command line: what the region starts its controllers with
     #[command(disable_help_flag = true)]
     Controller {
@@ -116,6 +123,7 @@
                 for_s,
             } => serve::ask(region, kind, target, for_s).await,
             Command::Contention { seeds, report } => report::run(seeds, report.as_deref()),
+            Command::Cuts { report } => cut_report::run(report.as_deref()),
             Command::Controller { .. } => Ok(ExitCode::SUCCESS),
         }
     });
--- a/crates/region/src/report.rs
+++ b/crates/region/src/report.rs
@@ -13,7 +13,7 @@
     self, Kind, Level, Replay, SETTLE_S, STASH_S, TOLERANCE, end_s, phases, replay,
 };
 
-const STYLE: &str = "body{font-family:sans-serif;max-width:70em;margin:2em auto;color:#222}\
+pub const STYLE: &str = "body{font-family:sans-serif;max-width:70em;margin:2em auto;color:#222}\
     table{border-collapse:collapse}td,th{padding:.2em .8em;text-align:right;\
     border-bottom:1px solid #ddd}td:first-child,th:first-child{text-align:left}\
     figure{margin:1em 0}figcaption{font-size:90%;color:#555}";
