--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -149,7 +149,7 @@
         speaking >= 2 && speaking * 3 >= others.len() * 2
     }
 
-    fn answer_report(&mut self, report: Report) -> ReportAnswer {
+    pub(super) fn answer_report(&mut self, report: Report) -> ReportAnswer {
         let parts = self.settings.operator.blocks_per_zone;
         let block = block_of(&report.host, &report.yard, parts);
         let Some(token) = self.token_for(&block) else {
--- a/src/sockets/door.rs
+++ b/src/sockets/door.rs
@@ -31,15 +31,11 @@
     Answered(Id),
 }
 
-struct Door<S> {
-    listener: TcpListener,
-    service: S,
+struct Door {
     clock: Clock,
     ledger: Ledger<Id>,
     ends: HashMap<Id, oneshot::Sender<()>>,
     tasks: JoinSet<()>,
-    tell: mpsc::Sender<Told>,
-    told: mpsc::Receiver<Told>,
     pressure: watch::Sender<Pressure>,
     turned_away: u64,
 }
@@ -65,83 +61,78 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     // A connection tells one thing at a time and waits until it is taken.
-    let (tell, told) = mpsc::channel(256);
-    let door = Door {
-        listener,
-        service,
+    let (tell, mut told) = mpsc::channel(256);
+    let mut door = Door {
         clock,
         ledger: Ledger::new(most, patience),
         ends: HashMap::new(),
         tasks: JoinSet::new(),
-        tell,
-        told,
         pressure: watch::Sender::new(Pressure::default()),
         turned_away: 0,
     };
-    door.run(busy).await;
-}
-
-impl<S> Door<S> {
-    async fn run<B>(mut self, busy: fn() -> Response<B>)
-    where
-        S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>
-            + Clone
-            + Send
-            + Sync
-            + 'static,
-        S::Future: Send,
-        B: hyper::body::Body + Send + 'static,
-        B::Data: Send,
-        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-    {
-        let mut sweep = tokio::time::interval(SWEEP);
-        sweep.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
-            tokio::select! {
-                biased;
-                Some(ended) = self.tasks.join_next_with_id(), if !self.tasks.is_empty() => {
-                    let id = match ended {
-                        Ok((id, ())) => id,
-                        Err(error) => error.id(),
+    let mut sweep = tokio::time::interval(SWEEP);
+    sweep.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            biased;
+            Some(ended) = door.tasks.join_next_with_id(), if !door.tasks.is_empty() => {
+                door.closed(match ended {
+                    Ok((id, ())) => id,
+                    Err(error) => error.id(),
+                });
+            }
+            Some(told) = told.recv() => door.hear(told),
+            _ = sweep.tick() => door.sweep(),
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) if door.ledger.admits() => {
+                    let (end, ended) = oneshot::channel();
+                    let gate = Gate {
+                        tell: tell.clone(),
+                        pressure: door.pressure.subscribe(),
                     };
-                    self.ledger.closed(id);
-                    self.ends.remove(&id);
+                    let talk = converse(stream, service.clone(), gate, ended, busy);
+                    let id = door.tasks.spawn(talk).id();
+                    door.opened(id, end);
                 }
-                Some(told) = self.told.recv() => {
-                    let now = self.clock.now();
-                    match told {
-                        Told::Asked(id, class) => self.ledger.asked(id, class, now),
-                        Told::Answered(id) => self.ledger.answered(id, now),
-                    }
+                // Whoever it is finds another controller sooner than we find room.
+                Ok(_) => door.turned_away += 1,
+                Err(error) => {
+                    tracing::error!(%error, "can't accept a connection");
+                    tokio::time::sleep(REFUSED).await;
                 }
-                _ = sweep.tick() => self.sweep(),
-                accepted = self.listener.accept() => match accepted {
-                    Ok((stream, _)) if self.ledger.admits() => {
-                        let (end, ended) = oneshot::channel();
-                        let gate = Gate {
-                            tell: self.tell.clone(),
-                            pressure: self.pressure.subscribe(),
-                        };
-                        let talk = converse(stream, self.service.clone(), gate, ended, busy);
-                        let id = self.tasks.spawn(talk).id();
-                        self.ledger.opened(id, self.clock.now());
-                        self.ends.insert(id, end);
-                    }
-                    // Whoever it is finds another controller sooner than we find room.
-                    Ok(_) => self.turned_away += 1,
-                    Err(error) => {
-                        tracing::error!(%error, "can't accept a connection");
-                        tokio::time::sleep(REFUSED).await;
-                    }
-                },
-            }
-            let pressure = self.ledger.pressure();
-            self.pressure.send_if_modified(|known| {
-                let changed = *known != pressure;
-                *known = pressure;
-                changed
-            });
+            },
         }
+        door.publish();
+    }
+}
+
+impl Door {
+    fn opened(&mut self, id: Id, end: oneshot::Sender<()>) {
+        self.ledger.opened(id, self.clock.now());
+        self.ends.insert(id, end);
+    }
+
+    fn closed(&mut self, id: Id) {
+        self.ledger.closed(id);
+        self.ends.remove(&id);
+    }
+
+    fn hear(&mut self, told: Told) {
+        let now = self.clock.now();
+        match told {
+            Told::Asked(id, class) => self.ledger.asked(id, class, now),
+            Told::Answered(id) => self.ledger.answered(id, now),
+        }
+    }
+
+    /// Lets all connections know what they have to know of each other.
+    fn publish(&mut self) {
+        let pressure = self.ledger.pressure();
+        self.pressure.send_if_modified(|known| {
+            let changed = *known != pressure;
+            *known = pressure;
+            changed
+        });
     }
 
     fn sweep(&mut self) {
