Deletions that are not sent do not count; one way to ask for a peer's word

What was given up for silence counted against the bound of 30 s at once, though the cloud takes a hundred names a time and the rest was dropped: it waited half a minute. A machine whose deletion was on its way counted again. Both are held before the bound now, in one place, with a test.

Whether another controller was heard just now stood in three places. For machines that only the records know, their block was looked up twice, and at all for those that are known.

--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -5,7 +5,6 @@
 
 use rustc_hash::FxHashSet as HashSet;
 
-use super::reports::WORD_HOLDS;
 use super::{Arrival, Controller, Effect, Purpose};
 use crate::fleet::plan::{Bin, Headroom, Need, plan};
 use crate::fleet::{CloudAnswer, CloudCall, FLAVORS, Flavor, Fleet, Offer, Rented, Stage};
@@ -227,28 +226,35 @@
                 && self.drained(host);
             if rented.stage == Stage::Failed || never || sick {
                 lost.push(host.clone());
-            } else if dead && !self.fleet.deleting.contains(host) {
+            } else if dead {
                 silenced.push(self.suspect(host, &rented.zone));
             }
         }
         // Machines that only the records know: a list need not show them any more.
         for host in self.jobs.hosts() {
-            let known = self.fleet.hosts.contains_key(host) || self.machines.contains_key(host);
-            let block = self.jobs.on_host(host).find_map(|(id, index)| {
-                Some(self.jobs.get(id)?.task(*index).placement()?.block.clone())
-            });
-            let silent = block.and_then(|block| self.silent_for(host, &block));
-            if !known && silent.is_some_and(|silent| silent.outlasts(lease)) {
-                let zone = self.jobs.on_host(host).find_map(|(id, index)| {
-                    let placement = self.jobs.get(id)?.task(*index).placement()?;
-                    Some(placement.block.zone.clone())
-                });
-                silenced.extend(zone.map(|zone| self.suspect(host, &zone)));
+            if self.fleet.hosts.contains_key(host) || self.machines.contains_key(host) {
+                continue;
+            }
+            let block = self
+                .jobs
+                .on_host(host)
+                .find_map(|(id, index)| Some(&self.jobs.get(id)?.task(*index).placement()?.block));
+            if let Some(block) = block
+                && self
+                    .silent_for(host, block)
+                    .is_some_and(|silent| silent.outlasts(lease))
+            {
+                silenced.push(self.suspect(host, &block.zone));
             }
         }
         self.observe_zones(zones);
+        // What is given up counts against a bound, so it must be what is sent now.
+        let deleting = &self.fleet.deleting;
+        lost.retain(|host| !deleting.contains(host));
+        silenced.retain(|suspect| !deleting.contains(&suspect.host));
+        let room = MOST_DELETED.saturating_sub(lost.len());
         let hold = self.settings.operator.hold;
-        lost.extend(self.zones.give_up(silenced, hold, self.now));
+        lost.extend(self.zones.give_up(silenced, room, hold, self.now));
         for (host, machine) in &self.machines {
             if machine.sick && !self.fleet.gone.contains(host) {
                 self.drains.insert(host.clone());
@@ -282,9 +288,7 @@
             return true;
         }
         machine.draining
-            && self.peers.get(&machine.heard_by).is_some_and(|peer| {
-                self.now.since(peer.heard) <= WORD_HOLDS && self.applied >= peer.revision
-            })
+            && (self.word_of(&machine.heard_by)).is_some_and(|peer| self.applied >= peer.revision)
     }
 
     fn sold_out(&self, offer: &Offer) -> bool {
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -4,13 +4,13 @@
 
 use rustc_hash::FxHashSet as HashSet;
 
-use super::{Controller, DirectAnswer, Effect};
+use super::{Controller, DirectAnswer, Effect, PeerState};
 use crate::fleet::{Flavor, fetch_rate};
 use crate::jobs::Shape;
 use crate::jobs::cache::{Change, Evidence, Job};
 use crate::queue;
 use crate::types::{
-    Attempt, Baton, BlockId, HostId, JobId, Millis, ReplyId, Session, TaskId, Token, Zone,
+    Attempt, Baton, BlockId, HostId, JobId, Millis, NodeId, ReplyId, Session, TaskId, Token, Zone,
 };
 use crate::workers::reconcile::{Stop, reconcile};
 use crate::workers::wire::{Cause, Order, Report, ReportAnswer, TaskStage};
@@ -27,7 +27,7 @@
 /// How often a controller that hears nobody asks a worker.
 const INSPECT_EVERY: Millis = Millis(2_000);
 /// What another controller said holds for this long.
-pub(super) const WORD_HOLDS: Millis = Millis(3_000);
+const WORD_HOLDS: Millis = Millis(3_000);
 /// A machine without tasks that nobody has heard for this long is forgotten.
 const FORGET: Millis = Millis(120_000);
 
@@ -110,6 +110,12 @@
         }
     }
 
+    /// What another controller said last, if that was just now.
+    pub(super) fn word_of(&self, node: &NodeId) -> Option<&PeerState> {
+        let peer = self.peers.get(node);
+        peer.filter(|peer| self.now.since(peer.heard) <= WORD_HOLDS)
+    }
+
     /// How long a machine has been silent, by the word of whoever holds its block now; nobody
     /// else can tell. A holder that hears nobody can't either.
     pub(super) fn silent_for(&self, host: &HostId, block: &BlockId) -> Option<Silence> {
@@ -124,9 +130,7 @@
         let can_tell = if *holder == self.me {
             self.hears && self.now.since(self.last_report) <= self.silence()
         } else {
-            self.peers
-                .get(holder)
-                .is_some_and(|peer| peer.hears && self.now.since(peer.heard) <= WORD_HOLDS)
+            self.word_of(holder).is_some_and(|peer| peer.hears)
         };
         can_tell.then(|| Silence {
             since_heard: self.now.since(heard),
--- a/src/controller/zones.rs
+++ b/src/controller/zones.rs
@@ -5,7 +5,7 @@
 use super::Controller;
 use crate::jobs::Shape;
 use crate::lease::Own;
-use crate::types::{Baton, BlockId, HostId, NodeId, Token, Zone};
+use crate::types::{Baton, BlockId, HostId, Token, Zone};
 use crate::workers::wire::ReportAnswer;
 use crate::zones::keep::{Circumstances, may_renew};
 use crate::zones::silence::{Seen, Suspect, Worth};
@@ -49,7 +49,7 @@
     pub(super) fn keep_for_others(&self, block: &BlockId, baton: Baton) -> Option<ReportAnswer> {
         let cut_off = !self.synced || self.keeping.on();
         let holder = self.leases.blocks.get(block).map(|(holder, _)| holder);
-        let speaks = holder.is_some_and(|holder| self.speaks(holder));
+        let speaks = holder.is_some_and(|holder| self.word_of(holder).is_some());
         let renews = self.may_answer() && may_renew(baton, cut_off, speaks);
         renews.then(|| ReportAnswer::Orders {
             baton,
@@ -87,11 +87,6 @@
             worth: worth.max().unwrap_or(Worth::Idle),
         }
     }
-
-    fn speaks(&self, node: &NodeId) -> bool {
-        let peer = self.peers.get(node);
-        peer.is_some_and(|peer| self.now.since(peer.heard) <= super::reports::WORD_HOLDS)
-    }
 }
 
 #[cfg(test)]
--- a/src/zones/silence.rs
+++ b/src/zones/silence.rs
@@ -128,8 +128,14 @@
     }
 
     /// Of machines thought lost, those that are given up now; the others stay for the time being.
-    /// `hold` is how long a zone that is cut off is left alone.
-    pub fn give_up(&mut self, mut lost: Vec<Suspect>, hold: Millis, now: Millis) -> Vec<HostId> {
+    /// No more than `room` can be deleted now; `hold` is how long a zone that is cut off is left alone.
+    pub fn give_up(
+        &mut self,
+        mut lost: Vec<Suspect>,
+        room: usize,
+        hold: Millis,
+        now: Millis,
+    ) -> Vec<HostId> {
         while (self.deleted.front()).is_some_and(|(at, _)| now.since(*at) > WINDOW) {
             self.deleted.pop_front();
         }
@@ -149,7 +155,7 @@
                 Standing::Returning => now.since(state.since) < STEP,
                 Standing::Sound | Standing::PartlyLost => false,
             };
-            if bounded || stays {
+            if bounded || stays || given_up.len() >= room {
                 held += 1;
                 continue;
             }
@@ -178,6 +184,7 @@
     use super::*;
 
     const HOLD: Millis = Millis(60_000);
+    const ANY: usize = usize::MAX;
 
     fn seen(machines: u32, silent: u32, controllers_silent: bool) -> Seen {
         Seen {
@@ -263,7 +270,7 @@
             let mut left = suspects("a", silent as usize);
             let mut given_up = 0;
             for (at_s, expected) in [0, 59, 60, 70, 80, 110].into_iter().zip(expected) {
-                let gone = zones.give_up(left.clone(), HOLD, Millis(at_s * 1_000));
+                let gone = zones.give_up(left.clone(), ANY, HOLD, Millis(at_s * 1_000));
                 left.retain(|suspect| !gone.contains(&suspect.host));
                 given_up += gone.len();
                 assert_eq!(given_up, expected, "{silent} silent, after {at_s} s");
@@ -276,13 +283,27 @@
         let mut zones = Zones::default();
         let zone = Zone::from("a");
         zones.observe(&zone, seen(40, 40, true), Millis(0));
-        let gone = zones.give_up(suspects("a", 40), Millis(0), Millis(30_000));
+        let gone = zones.give_up(suspects("a", 40), ANY, Millis(0), Millis(30_000));
         let expected: Vec<HostId> = (0..7)
             .map(|i| format!("vm-{:04}", 4 * i + 1).into())
             .collect();
         assert_eq!(gone, expected);
     }
 
+    /// The cloud takes a hundred names at a time. All that was given up at once counted against the
+    /// bound, and what had not been sent waited for half a minute.
+    #[test]
+    fn only_what_is_sent_counts_against_the_bound() {
+        let mut zones = Zones::default();
+        zones.observe(&Zone::from("a"), seen(1_000, 200, false), Millis(0));
+        let mut lost = suspects("a", 200);
+        for at in [1_000, 2_000] {
+            let gone = zones.give_up(lost.clone(), 100, HOLD, Millis(at));
+            assert_eq!(gone.len(), 100, "at {at}");
+            lost.retain(|suspect| !gone.contains(&suspect.host));
+        }
+    }
+
     /// Whatever a leader thinks it knows, it can't delete a fleet at once.
     #[test]
     fn deletions_for_silence_are_bounded_in_a_zone_and_in_all() {
@@ -302,11 +323,15 @@
                         }),
                 );
             }
-            let first = zones.give_up(lost.clone(), HOLD, Millis(1_000));
+            let first = zones.give_up(lost.clone(), ANY, HOLD, Millis(1_000));
             assert_eq!(first.len(), expected, "{zones_silent} zones");
             lost.retain(|suspect| !first.contains(&suspect.host));
-            assert!(zones.give_up(lost.clone(), HOLD, Millis(30_000)).is_empty());
-            assert!(!zones.give_up(lost, HOLD, Millis(32_000)).is_empty());
+            assert!(
+                zones
+                    .give_up(lost.clone(), ANY, HOLD, Millis(30_000))
+                    .is_empty()
+            );
+            assert!(!zones.give_up(lost, ANY, HOLD, Millis(32_000)).is_empty());
         }
     }
 }
