--- a/crates/region/src/cut_report.rs
+++ b/crates/region/src/cut_report.rs
@@ -7,10 +7,10 @@
 use comfy_table::Table;
 use indicatif::ProgressBar;
 use maud::{DOCTYPE, Markup, PreEscaped, html};
-use plotters::prelude::*;
+use plotters::style::RGBColor;
 use tiller_region::cuts::{FROM_S, Inside, Played, play};
 
-use crate::report::STYLE;
+use crate::report::{Line, STYLE, figure};
 
 const DURATIONS_S: [u64; 3] = [20, 60, 120];
 const SIZES: [u32; 3] = [10, 20, 40];
@@ -85,43 +85,26 @@
 
 /// Tasks that run in the zone: with it kept (blue), and given up (orange).
 fn plot(played: &[&Played]) -> anyhow::Result<String> {
-    let mut svg = String::new();
-    {
-        let area = SVGBackend::with_string(&mut svg, (960, 220)).into_drawing_area();
-        let samples = played.iter().flat_map(|p| &p.running);
-        let highest = samples
-            .clone()
-            .map(|(_, inside, _)| *inside)
-            .max()
-            .unwrap_or(1)
-            + 2;
-        let end = samples.map(|(at, ..)| *at).max().unwrap_or(FROM_S + 1);
-        let mut chart = ChartBuilder::on(&area)
-            .margin(8)
-            .x_label_area_size(28)
-            .y_label_area_size(44)
-            .build_cartesian_2d(FROM_S..end, 0..highest)?;
-        let mut mesh = chart.configure_mesh();
-        mesh.x_desc("seconds")
-            .y_desc("tasks")
-            .x_labels(12)
-            .y_labels(5);
-        mesh.light_line_style(WHITE).draw()?;
-        for played in played {
-            let ends = FROM_S + played.for_s;
-            let line = vec![(ends, 0), (ends, highest)];
-            chart.draw_series(LineSeries::new(line, BLACK.mix(0.2)))?;
-            let color = if played.kept {
-                RGBColor(30, 90, 160)
-            } else {
-                RGBColor(200, 90, 20)
-            };
-            let inside = played.running.iter().map(|(at, inside, _)| (*at, *inside));
-            chart.draw_series(LineSeries::new(inside, color.stroke_width(2)))?;
-        }
-        area.present()?;
-    }
-    Ok(svg)
+    let samples = played.iter().flat_map(|p| &p.running);
+    let highest = samples.clone().map(|(_, inside, _)| *inside).max();
+    let end = samples.map(|(at, ..)| *at).max().unwrap_or(FROM_S + 1);
+    let marks: Vec<u64> = played.iter().map(|p| FROM_S + p.for_s).collect();
+    let line = |played: &&Played| Line {
+        color: if played.kept {
+            RGBColor(30, 90, 160)
+        } else {
+            RGBColor(200, 90, 20)
+        },
+        width: 2,
+        points: played
+            .running
+            .iter()
+            .map(|(at, inside, _)| (*at, *inside as f64))
+            .collect(),
+    };
+    let lines = played.iter().map(line).collect();
+    let highest = (highest.unwrap_or(1) + 2) as f64;
+    figure(FROM_S..end, highest, "tasks", &marks, lines)
 }
 
 fn html_page(all: &[Played]) -> anyhow::Result<Markup> {
--- a/crates/region/src/report.rs
+++ b/crates/region/src/report.rs
@@ -1,5 +1,6 @@
 //! `tiller-region contention`: the replay of contention, and its page.
 
+use std::ops::Range;
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -10,7 +11,7 @@
 use plotters::prelude::*;
 use tiller_region::config::Config;
 use tiller_region::contention::{
-    self, Kind, Level, Replay, SETTLE_S, STASH_S, TOLERANCE, end_s, phases, replay,
+    self, Kind, Level, Replay, SETTLE_S, STASH_S, Sample, TOLERANCE, end_s, phases, replay,
 };
 
 pub const STYLE: &str = "body{font-family:sans-serif;max-width:70em;margin:2em auto;color:#222}\
@@ -111,41 +112,67 @@
     table
 }
 
-/// A level's share against what it is entitled to.
-fn plot(level: &Level) -> anyhow::Result<String> {
+/// One line of a figure: its color, how wide, and its points by second.
+pub struct Line {
+    pub color: RGBColor,
+    pub width: u32,
+    pub points: Vec<(u64, f64)>,
+}
+
+/// A figure over seconds, as SVG; `marks` are seconds that a thin line stands at.
+pub fn figure(
+    seconds: Range<u64>,
+    highest: f64,
+    unit: &str,
+    marks: &[u64],
+    lines: Vec<Line>,
+) -> anyhow::Result<String> {
     let mut svg = String::new();
     {
         let area = SVGBackend::with_string(&mut svg, (960, 220)).into_drawing_area();
-        let highest = level.samples.iter().map(|s| s.share.max(s.entitled));
-        let highest = highest.fold(4.0, f64::max) * 1.1;
-        let start = level.samples.first().map_or(0, |s| s.at_s);
         let mut chart = ChartBuilder::on(&area)
             .margin(8)
             .x_label_area_size(28)
             .y_label_area_size(44)
-            .build_cartesian_2d(start..end_s(), 0.0..highest)?;
+            .build_cartesian_2d(seconds, 0.0..highest)?;
         let mut mesh = chart.configure_mesh();
-        mesh.x_desc("seconds")
-            .y_desc("GPUs")
-            .x_labels(12)
-            .y_labels(5);
+        mesh.x_desc("seconds").y_desc(unit).x_labels(12).y_labels(5);
         mesh.light_line_style(WHITE).draw()?;
-        for (at, _) in phases() {
-            let line = vec![(at, 0.0), (at, highest)];
+        for at in marks {
+            let line = vec![(*at, 0.0), (*at, highest)];
             chart.draw_series(LineSeries::new(line, BLACK.mix(0.2)))?;
         }
-        let entitled = level.samples.iter().map(|s| (s.at_s, s.entitled));
-        chart.draw_series(LineSeries::new(
-            entitled,
-            RGBColor(200, 90, 20).stroke_width(2),
-        ))?;
-        let share = level.samples.iter().map(|s| (s.at_s, s.share));
-        chart.draw_series(LineSeries::new(share, RGBColor(30, 90, 160)))?;
+        for line in lines {
+            let style = line.color.stroke_width(line.width);
+            chart.draw_series(LineSeries::new(line.points, style))?;
+        }
         area.present()?;
     }
     Ok(svg)
 }
 
+/// A level's share against what it is entitled to.
+fn plot(level: &Level) -> anyhow::Result<String> {
+    let highest = level.samples.iter().map(|s| s.share.max(s.entitled));
+    let highest = highest.fold(4.0, f64::max) * 1.1;
+    let start = level.samples.first().map_or(0, |s| s.at_s);
+    let marks: Vec<u64> = phases().map(|(at, _)| at).collect();
+    let points = |of: fn(&Sample) -> f64| level.samples.iter().map(|s| (s.at_s, of(s))).collect();
+    let lines = vec![
+        Line {
+            color: RGBColor(200, 90, 20),
+            width: 2,
+            points: points(|s| s.entitled),
+        },
+        Line {
+            color: RGBColor(30, 90, 160),
+            width: 1,
+            points: points(|s| s.share),
+        },
+    ];
+    figure(start..end_s(), highest, "GPUs", &marks, lines)
+}
+
 fn html_page(replays: &[Replay]) -> anyhow::Result<Markup> {
     let report = Config::default().timing.report.secs();
     let shown: Vec<&Replay> = replays.iter().filter(|replay| replay.seed == 1).collect();
