An office belongs to the process that took it, not to its label

Change: records of offices name the lease they hang on, and an office of our label under another lease is nobody's to us; messages between controllers carry the sender's lease, and those of processes that are over are dropped.

--- a/src/controller/committing.rs
+++ b/src/controller/committing.rs
@@ -518,7 +518,7 @@
             until: Millis(60_000),
         };
         for block in ["a.0", "b.0"] {
-            let record = r#"{"holder":"n0"}"#;
+            let record = r#"{"holder":"n0","permit":1}"#;
             controller.feed(&format!("jt/block/{block}"), Some(record), Revision(5));
         }
         let flavor = r#"[{"sku":"g8","room":{"cpus":96.0,"gpus":8.0,"memory_gb":768.0},"cache_gb":100.0,
--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -109,6 +109,7 @@
         if self.leases.leader.is_none() && self.busy_membership.insert("lead") {
             let record = LeaderRecord {
                 leader: self.me.clone(),
+                permit,
             };
             let mut txn = Txn::default();
             txn.require(LEADER.into(), Revision(0));
@@ -143,7 +144,9 @@
             let key = lease::block_key(&block);
             txn.require(key.clone(), known);
             txn.require(lease::node_key(&node), *version);
-            txn.put_leased(key, &BlockRecord { holder: node }, record.permit);
+            let permit = record.permit;
+            let holder = node;
+            txn.put_leased(key, &BlockRecord { holder, permit }, permit);
         }
         if !txn.changes.is_empty() {
             self.busy_membership.insert("assign");
@@ -360,7 +363,7 @@
             }
             return;
         }
-        if let Some(moved) = self.leases.feed(key, data, version) {
+        if let Some(moved) = self.leases.feed(&self.me, key, data, version) {
             self.on_moved(moved);
             return;
         }
--- a/src/controller/nested.rs
+++ b/src/controller/nested.rs
@@ -529,7 +529,7 @@
         );
         let file = TreeSpec::parse("f", &text).unwrap();
         controller.nested = Nested::new(std::slice::from_ref(&team), Some(&file), 8.0);
-        controller.feed(LEADER, Some(r#"{"leader":"n0"}"#), Revision(9));
+        controller.feed(LEADER, Some(r#"{"leader":"n0","permit":1}"#), Revision(9));
         let mut revision = 9;
         loop {
             let changes = match controller.nested.owed(1) {
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -19,8 +19,8 @@
 use crate::quota;
 use crate::settings::TeamSettings;
 use crate::types::{
-    Attempt, BlockId, HostId, JobId, Millis, NodeId, Revision, Room, Session, Sku, TaskId, Token,
-    Zone,
+    Attempt, BlockId, HostId, JobId, Millis, NodeId, Permit, Revision, Room, Session, Sku, TaskId,
+    Token, Zone,
 };
 use crate::workers::reconcile::Stop;
 use crate::workers::{Cached, Machine, block_of};
@@ -970,6 +970,14 @@
     }
 
     fn on_status(&mut self, from: NodeId, status: Status) {
+        // One that lost the state service has lost its lease too, and goes on; one that did not is
+        // no more, and says so late.
+        let over = |permit| self.leases.is_over(Permit(permit));
+        let went_on = Millis(status.without_store_ms) > self.settings.operator.lease;
+        if status.permit.is_some_and(over) && !went_on {
+            tracing::debug!(%from, "a message of a process that is no more");
+            return;
+        }
         let (now, parts) = (self.now, self.settings.operator.blocks_per_zone);
         let state = super::PeerState {
             heard: now,
@@ -1117,6 +1125,7 @@
         };
         let said = self.shared.said.get(&self.me).copied().unwrap_or_default();
         let status = Status {
+            permit: self.leases.permit().map(|permit| permit.0),
             plan: said.obeys.0,
             used_milli: (said.demand.used * 1e3) as u64,
             waiting: said.demand.waiting as u64,
@@ -1156,7 +1165,11 @@
         for (known_after, queued) in [(100, true), (60_000, false)] {
             let (_, spec) = parse(body().to_string().as_bytes()).unwrap();
             let (mut controller, known) = controller(spec, vec![Task::FRESH; 8]);
-            controller.feed("jt/lead", Some(r#"{"leader":"n0"}"#), Revision(8));
+            controller.feed(
+                "jt/lead",
+                Some(r#"{"leader":"n0","permit":1}"#),
+                Revision(8),
+            );
             let record = serde_json::to_string(&controller.jobs.get(&known).unwrap().record);
             let job = "job-9".to_string();
             let id = JobId::from(job.clone());
--- a/src/controller/zones.rs
+++ b/src/controller/zones.rs
@@ -124,7 +124,7 @@
                 attempt: Attempt(1),
             });
             controller.feed(&page_key(&id, 0), Some(&encode_page(&[here])), Revision(8));
-            let holder = r#"{"holder":"n0"}"#;
+            let holder = r#"{"holder":"n0","permit":1}"#;
             controller.feed(&crate::lease::block_key(&block), Some(holder), Revision(30));
             controller.applied = Revision(applied);
             let answer = controller.answer_report(report(Baton::of(Token(30))));
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -3,7 +3,7 @@
 //! Each controller has one lease in the state service; its own record, its leadership and its
 //! blocks hang on it, so one renewal keeps them all and its end takes them all away.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -30,14 +30,18 @@
     pub hears: bool,
 }
 
+/// An office belongs to a process, not to a label: to the lease that the process took itself. One
+/// that was started again reads what the process before it held, and must not take it for its own.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LeaderRecord {
     pub leader: NodeId,
+    pub permit: Permit,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BlockRecord {
     pub holder: NodeId,
+    pub permit: Permit,
 }
 
 /// The lease of this controller.
@@ -59,8 +63,13 @@
     pub nodes: BTreeMap<NodeId, (NodeRecord, Revision)>,
     pub leader: Option<(NodeId, Revision)>,
     pub blocks: BTreeMap<BlockId, (NodeId, Token)>,
+    /// Leases that controllers had before, the last of them: their processes are no more.
+    ended: VecDeque<Permit>,
 }
 
+/// So many leases that are over are remembered.
+const MOST_ENDED: usize = 256;
+
 impl Default for Leases {
     fn default() -> Self {
         Self {
@@ -69,6 +78,7 @@
             nodes: BTreeMap::new(),
             leader: None,
             blocks: BTreeMap::new(),
+            ended: VecDeque::new(),
         }
     }
 }
@@ -89,6 +99,23 @@
         }
     }
 
+    /// Whether a message of a process with this lease comes from one that is known to be no more.
+    pub fn is_over(&self, permit: Permit) -> bool {
+        self.ended.contains(&permit)
+    }
+
+    fn note_ended(&mut self, permit: Permit) {
+        self.ended.push_back(permit);
+        if self.ended.len() > MOST_ENDED {
+            self.ended.pop_front();
+        }
+    }
+
+    /// Whether an office of this holder is a dead process's that had our label.
+    fn of_the_dead(&self, holder: &NodeId, permit: Permit, me: &NodeId) -> bool {
+        holder == me && self.permit() != Some(permit)
+    }
+
     pub fn holds(&self, block: &BlockId, me: &NodeId) -> Option<Token> {
         let (holder, token) = self.blocks.get(block)?;
         (holder == me).then_some(*token)
@@ -118,7 +145,14 @@
         self.blocks.retain(|_, (holder, _)| holder != me);
     }
 
-    pub fn feed(&mut self, key: &str, data: Option<&str>, version: Revision) -> Option<Moved> {
+    /// Takes in a record. An office of the process that had our label before counts as nobody's.
+    pub fn feed(
+        &mut self,
+        me: &NodeId,
+        key: &str,
+        data: Option<&str>,
+        version: Revision,
+    ) -> Option<Moved> {
         if key == LEADER {
             let record: Option<LeaderRecord> = data.and_then(|d| serde_json::from_str(d).ok());
             if self
@@ -128,6 +162,7 @@
             {
                 return None;
             }
+            let record = record.filter(|r| !self.of_the_dead(&r.leader, r.permit, me));
             self.leader = record.map(|r| (r.leader, version));
             return Some(Moved::Leader);
         }
@@ -140,10 +175,16 @@
             {
                 return None;
             }
-            match data.and_then(|d| serde_json::from_str(d).ok()) {
+            let record: Option<NodeRecord> = data.and_then(|d| serde_json::from_str(d).ok());
+            let permit = record.as_ref().map(|record| record.permit);
+            let before = match record {
                 Some(record) => self.nodes.insert(node.clone(), (record, version)),
                 None => self.nodes.remove(&node),
             };
+            let before = before.map(|(record, _)| record.permit);
+            if let Some(ended) = before.filter(|before| Some(*before) != permit) {
+                self.note_ended(ended);
+            }
             return Some(Moved::Node(node));
         }
         let block = BlockId::parse(key.strip_prefix(BLOCKS)?)?;
@@ -155,7 +196,8 @@
         {
             return None;
         }
-        match data.and_then(|d| serde_json::from_str::<BlockRecord>(d).ok()) {
+        let record: Option<BlockRecord> = data.and_then(|d| serde_json::from_str(d).ok());
+        match record.filter(|r| !self.of_the_dead(&r.holder, r.permit, me)) {
             Some(record) => self.blocks.insert(block.clone(), (record.holder, token)),
             None => self.blocks.remove(&block),
         };
@@ -269,7 +311,7 @@
     #[test]
     fn an_older_record_changes_nothing() {
         let mut leases = Leases::default();
-        let holder = |name: &str| format!("{{\"holder\":\"{name}\"}}");
+        let holder = |name: &str| format!("{{\"holder\":\"{name}\",\"permit\":7}}");
         let block = BlockId::parse("a.0").unwrap();
         let steps = [
             (Some(holder("n0")), 5, Some("n0")),
@@ -279,7 +321,12 @@
             (None, 10, None),
         ];
         for (data, version, expected) in steps {
-            leases.feed("jt/block/a.0", data.as_deref(), Revision(version));
+            leases.feed(
+                &"n9".into(),
+                "jt/block/a.0",
+                data.as_deref(),
+                Revision(version),
+            );
             let held = leases.blocks.get(&block).map(|(n, _)| n.as_str());
             assert_eq!(held, expected, "at {version}");
         }
@@ -296,9 +343,24 @@
             },
             ..Leases::default()
         };
-        leases.feed("jt/lead", Some(r#"{"leader":"n0"}"#), Revision(3));
-        leases.feed("jt/block/a.0", Some(r#"{"holder":"n0"}"#), Revision(4));
-        leases.feed("jt/block/a.1", Some(r#"{"holder":"n1"}"#), Revision(5));
+        leases.feed(
+            &"n9".into(),
+            "jt/lead",
+            Some(r#"{"leader":"n0","permit":7}"#),
+            Revision(3),
+        );
+        leases.feed(
+            &"n9".into(),
+            "jt/block/a.0",
+            Some(r#"{"holder":"n0","permit":7}"#),
+            Revision(4),
+        );
+        leases.feed(
+            &"n9".into(),
+            "jt/block/a.1",
+            Some(r#"{"holder":"n1","permit":8}"#),
+            Revision(5),
+        );
         let (n0, n1) = (NodeId::from("n0"), NodeId::from("n1"));
         let (a0, a1) = (
             BlockId::parse("a.0").unwrap(),
@@ -309,7 +371,12 @@
         assert_eq!(leases.holds(&a1, &n1), Some(Token(5)));
         assert_eq!(leases.own, Own::None);
         // What others then do is heard as ever.
-        leases.feed("jt/lead", Some(r#"{"leader":"n1"}"#), Revision(8));
+        leases.feed(
+            &"n9".into(),
+            "jt/lead",
+            Some(r#"{"leader":"n1","permit":8}"#),
+            Revision(8),
+        );
         assert_eq!(leases.leads(&n1), Some(Revision(8)));
         leases.lose(&n0);
         assert_eq!(leases.leads(&n1), Some(Revision(8)));
@@ -325,9 +392,70 @@
             (9, "n0", false),
         ] {
             let mut leases = Leases::default();
-            leases.feed("jt/block/a.0", Some(r#"{"holder":"n0"}"#), Revision(4));
+            leases.feed(
+                &"n9".into(),
+                "jt/block/a.0",
+                Some(r#"{"holder":"n0","permit":7}"#),
+                Revision(4),
+            );
             let superseded = leases.supersede(&block, &holder.into(), Token(token));
             assert_eq!(superseded, taken, "token {token} of {holder}");
         }
     }
+
+    /// A controller that was killed and back at once said `leading` and `holding` with the revisions
+    /// of the process before, until its old lease had been ended: it could have rented under names
+    /// that were used already, and answered workers under a token it had no right to.
+    #[test]
+    fn an_office_belongs_to_the_process_that_took_it() {
+        let me = NodeId::from("n0");
+        let block = BlockId::parse("a.0").unwrap();
+        let cases = [
+            // our lease; who held the office by the record, under which lease; ours, anybody's
+            (None, "n0", 7, false, false),
+            (Some(8), "n0", 7, false, false),
+            (Some(8), "n0", 8, true, true),
+            (Some(8), "n1", 7, false, true),
+            (None, "n1", 7, false, true),
+        ];
+        for (own, holder, permit, ours, known) in cases {
+            let mut leases = Leases::default();
+            if let Some(permit) = own {
+                leases.own = Own::Held {
+                    permit: Permit(permit),
+                    until: Millis(9),
+                };
+            }
+            let lead = format!("{{\"leader\":\"{holder}\",\"permit\":{permit}}}");
+            let held = format!("{{\"holder\":\"{holder}\",\"permit\":{permit}}}");
+            leases.feed(&me, LEADER, Some(&lead), Revision(3));
+            leases.feed(&me, &block_key(&block), Some(&held), Revision(4));
+            let case = format!("{own:?}, {holder} under {permit}");
+            assert_eq!(leases.leads(&me).is_some(), ours, "{case}");
+            assert_eq!(leases.holds(&block, &me).is_some(), ours, "{case}");
+            assert_eq!(leases.leader.is_some(), known, "{case}");
+            assert_eq!(leases.blocks.contains_key(&block), known, "{case}");
+        }
+    }
+
+    /// What a dead process said may come late, and make machines look alive that nobody hears.
+    #[test]
+    fn a_process_is_over_once_its_record_has_changed_hands() {
+        let mut leases = Leases::default();
+        let record = |permit| format!("{{\"permit\":{permit},\"zone\":\"a\",\"hears\":true}}");
+        let steps = [
+            // record, its version, leases that are over then
+            (Some(record(3)), 5, vec![]),
+            (Some(record(3)), 6, vec![]),
+            (Some(record(4)), 7, vec![3]),
+            (None, 8, vec![3, 4]),
+            (Some(record(9)), 9, vec![3, 4]),
+        ];
+        for (data, version, over) in steps {
+            let (key, version) = (node_key(&"n1".into()), Revision(version));
+            leases.feed(&"n0".into(), &key, data.as_deref(), version);
+            let found: Vec<u64> = (1..12).filter(|p| leases.is_over(Permit(*p))).collect();
+            assert_eq!(found, over, "at {version:?}");
+        }
+    }
 }
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -56,6 +56,9 @@
 /// What each controller tells the others about once a second.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct Status {
+    /// The lease of the sender's process; none: it has none now. What a process said that is no
+    /// more may come late, and must not count.
+    pub permit: Option<u64>,
     /// The sender's cache is this new.
     pub revision: u64,
     /// Milliseconds since the state service last answered the sender.
@@ -113,6 +116,7 @@
     #[test]
     fn frames_survive_and_nonsense_is_refused() {
         let message = Message::Status(Status {
+            permit: Some(4),
             revision: 7,
             without_store_ms: 0,
             hears: true,
