Hearing is proved by effect; tasks on deleted machines are given up whoever placed them

Change: a machine gets work only once something proves that it hears us (an answer to what we sent, a start that is shown, a session that outlives a lease); what it says before is no sign of life; many that speak and do not hear are a cut. The leader releases what is placed on machines it deleted.

--- a/crates/region/src/live/control.rs
+++ b/crates/region/src/live/control.rs
@@ -40,7 +40,11 @@
     let now = region.now();
     region.rules.submit(&id, now);
     let answer = json!({"id": id, "runS": run.secs()});
-    let description = Description { spec, run };
+    let description = Description {
+        spec,
+        run,
+        broken: false,
+    };
     region.machines.jobs.insert(id, description);
     (201, Some(answer))
 }
--- a/crates/region/src/live/users.rs
+++ b/crates/region/src/live/users.rs
@@ -109,7 +109,11 @@
         {
             let region = &mut *self.shared.lock();
             let run = Millis(plan.run_ms);
-            let description = Description { spec, run };
+            let description = Description {
+                spec,
+                run,
+                broken: false,
+            };
             region.machines.jobs.insert(id.clone(), description);
             let now = region.now();
             region.rules.submit(&id, now);
--- a/crates/region/src/machines.rs
+++ b/crates/region/src/machines.rs
@@ -24,6 +24,8 @@
 pub struct Description {
     pub spec: Spec,
     pub run: Millis,
+    /// It was submitted with a mistake: its tasks fail on every machine.
+    pub broken: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -74,6 +76,8 @@
     pub unreachable_until: Millis,
     /// It does nothing until then.
     pub hung_until: Millis,
+    /// Its reports arrive, but nothing reaches it until then.
+    pub deaf_until: Millis,
     pub address: String,
 }
 
@@ -180,6 +184,7 @@
             sick: false,
             unreachable_until: Millis(0),
             hung_until: Millis(0),
+            deaf_until: Millis(0),
             address: "10.1.0.1:1".into(),
         };
         self.hosts.insert(host.clone(), machine);
@@ -204,6 +209,22 @@
         }
     }
 
+    /// A machine stops and is back at once, with nothing on it. Its counters may begin anew.
+    pub fn reboot(&mut self, host: &HostId, anew: bool, now: Millis) {
+        let node = self.rng.random_range(0..self.nodes);
+        let Some(machine) = self.hosts.get_mut(host).filter(|m| m.dead.is_none()) else {
+            return;
+        };
+        machine.tasks.clear();
+        machine.in_flight = None;
+        (machine.lease_from, machine.next_report, machine.node) = (now, now, node);
+        if anew {
+            (machine.session, machine.tally, machine.baton) = (1, 0, Baton(0));
+        } else {
+            machine.session += 1;
+        }
+    }
+
     fn lease_over(&self, machine: &Machine, now: Millis) -> bool {
         now > machine.lease_from + self.timing.lease && !self.keep_past_lease
     }
@@ -259,7 +280,7 @@
                 };
                 changed = true;
                 match task.stage {
-                    TaskStage::Fetching if sick => task.exit(Cause::Error),
+                    TaskStage::Fetching if sick || job.broken => task.exit(Cause::Error),
                     TaskStage::Fetching => {
                         started.push((host.clone(), id.clone()));
                         let done = self.completed.contains(id);
@@ -421,6 +442,12 @@
 
     /// Whether anything from outside reaches the machine.
     pub fn reachable(&self, host: &HostId, now: Millis) -> bool {
+        let hears = |m: &Machine| m.deaf_until <= now;
+        self.speaks(host, now) && self.hosts.get(host).is_some_and(hears)
+    }
+
+    /// Whether what the machine sends arrives.
+    pub fn speaks(&self, host: &HostId, now: Millis) -> bool {
         self.hosts.get(host).is_some_and(|m| {
             m.dead.is_none() && m.unreachable_until <= now && m.hung_until <= now && m.up_at <= now
         })
@@ -432,7 +459,8 @@
         let Some(machine) = self.hosts.get_mut(&out.host) else {
             return;
         };
-        let (alive, number) = (machine.dead.is_none(), out.report.tally);
+        let alive = machine.dead.is_none() && machine.deaf_until <= now;
+        let number = out.report.tally;
         let Some((sent, _)) = machine.in_flight.filter(|(_, n)| alive && *n == number) else {
             return;
         };
--- a/crates/region/src/rules.rs
+++ b/crates/region/src/rules.rs
@@ -13,6 +13,9 @@
 /// For so long polls of one job may fail while others are answered.
 const FORGOTTEN: Millis = Millis(90_000);
 
+/// Once the troubles are over, a job that is not heard of for longer is forgotten.
+const UNHEARD: Millis = Millis(75_000);
+
 /// The rules' names, as the protocol has them.
 pub const RULES: &[&str] = &[
     "ran_twice",
@@ -77,6 +80,11 @@
     /// When a poll of each was last answered, and any poll.
     polled: HashMap<JobId, Millis>,
     answered: Millis,
+    /// When all troubles are over: from then on a user may wait only so long for an answer.
+    pub calm: Millis,
+    /// Of each job when a question about it was last answered with its state, and the longest time
+    /// without that since the troubles were over.
+    silences: BTreeMap<JobId, (Millis, Millis)>,
     pub starts: u64,
     cancel: Millis,
 }
@@ -131,6 +139,8 @@
             return self.broken("invented", id);
         }
         self.accepted.insert(id.clone());
+        let silence = self.silences.entry(id.clone());
+        silence.or_insert((now, Millis(0))).0 = now;
         match stage {
             Stage::Done => {
                 let tasks = machines.jobs.get(id).map_or(0, |job| job.spec.tasks);
@@ -160,6 +170,23 @@
         }
     }
 
+    /// A user asks about a job.
+    pub fn asked(&mut self, id: &JobId, now: Millis) {
+        if let Some((last, longest)) = self.silences.get_mut(id) {
+            *longest = (*longest).max(now.since((*last).max(self.calm)));
+        }
+    }
+
+    /// Jobs about which users asked and heard nothing for longer than is allowed once the troubles
+    /// were over, and for how long.
+    pub fn unheard(&self) -> Vec<(JobId, Millis)> {
+        let silences = self
+            .silences
+            .iter()
+            .map(|(id, (_, longest))| (id.clone(), *longest));
+        silences.filter(|(_, silence)| *silence > UNHEARD).collect()
+    }
+
     /// Looks at all machines after a step in which these tasks came on theirs.
     pub fn check(&mut self, started: &[(HostId, TaskId)], machines: &Machines, now: Millis) {
         self.starts += started.len() as u64;
--- a/crates/region/src/sim.rs
+++ b/crates/region/src/sim.rs
@@ -1,7 +1,7 @@
 //! Whole controllers in a simulated region: virtual time, seeded luck, crashes, cuts and outages.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -73,6 +73,8 @@
     pub run_ms: u64,
     /// When it is submitted; none: some time in the first 30 s.
     pub at: Option<u64>,
+    /// Its tasks fail on every machine.
+    pub broken: bool,
 }
 
 impl JobPlan {
@@ -94,6 +96,7 @@
         body,
         run_ms,
         at: None,
+        broken: false,
     }
 }
 
@@ -108,6 +111,8 @@
     Budget(usize, u64),
     Direct(usize, u64, HostId, Baton, Session, Vec<Order>, bool),
     Report(Outgoing),
+    /// A copy of a report that was sent long ago.
+    Copy(Outgoing),
     Answer(Outgoing, ReportAnswer),
     Submit(usize),
     Poll(JobId),
@@ -150,6 +155,9 @@
     pub zone_cuts: Vec<ZoneCut>,
     /// Share of transactions whose answer is lost, and that may be applied seconds late.
     pub lost_answers: f64,
+    /// Share of reports of which a copy comes, how much later, and the share of these of which
+    /// nothing but the copy comes.
+    pub copies: Option<(f64, std::ops::Range<u64>, f64)>,
     pub machines: Machines,
     pub cloud: Cloud,
     pub cloud_down: Vec<(u64, u64)>,
@@ -189,6 +197,7 @@
             cuts: Vec::new(),
             zone_cuts: Vec::new(),
             lost_answers: 0.0,
+            copies: None,
             machines: Machines::new(&config, seed),
             cloud: Cloud::new(&config),
             cloud_down: Vec::new(),
@@ -278,6 +287,21 @@
         }
     }
 
+    /// Answers and orders do not reach a machine for a while, though its reports arrive.
+    pub fn deafen_worker(&mut self, index: usize, until: u64) {
+        let host = self.alive(index);
+        if let Some(machine) = host.and_then(|host| self.machines.hosts.get_mut(&host)) {
+            machine.deaf_until = Millis(until);
+        }
+    }
+
+    /// A machine loses all that it has and is back at once.
+    pub fn reboot_worker(&mut self, index: usize, anew: bool) {
+        if let Some(host) = self.alive(index) {
+            self.machines.reboot(&host, anew, Millis(self.now));
+        }
+    }
+
     pub fn make_sick(&mut self, index: usize) {
         let host = self.alive(index);
         if let Some(machine) = host.and_then(|host| self.machines.hosts.get_mut(&host)) {
@@ -379,6 +403,15 @@
                 self.direct(node, epoch, host, baton, session, orders, reply);
             }
             Msg::Report(out) => self.report_arrives(out),
+            Msg::Copy(out) => {
+                // Nobody waits for the answer, and the machine may be no more.
+                let (node, report) = (out.node, out.report);
+                if self.worker_cut(node, &out.host).is_none() {
+                    self.next += 1;
+                    let reply = ReplyId(self.next);
+                    self.handle(node, Event::Report { reply, report });
+                }
+            }
             Msg::Answer(out, answer) => self.machines.answered(&out, answer, Millis(self.now)),
             Msg::Submit(index) => {
                 let body = self.jobs[index].body.to_string();
@@ -387,13 +420,15 @@
                     // Users upload the description before they submit.
                     let run = Millis(self.jobs[index].run_ms);
                     let spec = spec.clone();
+                    let broken = self.jobs[index].broken;
                     let jobs = &mut self.machines.jobs;
-                    jobs.entry(id.clone()).or_insert(Description { spec, run });
+                    let description = Description { spec, run, broken };
+                    jobs.entry(id.clone()).or_insert(description);
                     self.rules.submit(id, Millis(self.now));
                 }
                 let id = self.jobs[index].id();
                 let reply = self.owe(Owed::User(id.clone()));
-                self.ask(Event::Submit { reply, submission });
+                self.ask(&id, Event::Submit { reply, submission });
                 // A user who hears nothing asks again.
                 if !self.over(&id) {
                     self.post(self.now + 5_000, Msg::Submit(index));
@@ -404,7 +439,7 @@
                 // They may ask again at any later time: an end must stay what it was.
                 let pause = if self.over(&job) { 9_000 } else { 2_000 };
                 self.post(self.now + pause, Msg::Poll(job.clone()));
-                self.ask(Event::Poll { reply, job });
+                self.ask(&job.clone(), Event::Poll { reply, job });
             }
             Msg::Abort(job) => {
                 if self.over(&job) {
@@ -414,7 +449,7 @@
                 let reply = self.owe(Owed::User(job.clone()));
                 let again = self.now + 2_000;
                 self.post(again, Msg::Abort(job.clone()));
-                self.ask(Event::Abort { reply, job });
+                self.ask(&job.clone(), Event::Abort { reply, job });
             }
         }
     }
@@ -432,7 +467,8 @@
     }
 
     /// A user reaches whichever controller.
-    fn ask(&mut self, event: Event) {
+    fn ask(&mut self, id: &JobId, event: Event) {
+        self.rules.asked(id, Millis(self.now));
         let node = self.rng.random_range(0..self.nodes.len());
         if self
             .zones_apart(Some(&self.settings[node].zone), None)
@@ -458,6 +494,15 @@
         let (started, reports) = self.machines.step(now);
         self.rules.check(&started, &self.machines, now);
         for out in reports {
+            if let Some((share, later, instead)) = self.copies.clone()
+                && self.rng.random_bool(share)
+            {
+                let at = self.now + self.rng.random_range(later);
+                self.post(at, Msg::Copy(out.clone()));
+                if self.rng.random_bool(instead) {
+                    continue;
+                }
+            }
             self.post(self.now + 3, Msg::Report(out));
         }
         self.post(self.now + STEP, Msg::Step);
@@ -687,7 +732,7 @@
             return self.post(until + 1, Msg::Report(out));
         }
         let down = self.nodes[node].is_none() || self.worker_cut(node, &out.host).is_some();
-        if down || !self.machines.reachable(&out.host, Millis(self.now)) {
+        if down || !self.machines.speaks(&out.host, Millis(self.now)) {
             return;
         }
         let report = out.report.clone();
@@ -721,6 +766,28 @@
         }
     }
 
+    /// Jobs that users asked for, and that neither ran to their end, nor run, nor wait for a reason
+    /// that the controllers can name.
+    pub fn unaccounted(&self) -> Vec<String> {
+        let present: HashSet<&JobId> = self
+            .machines
+            .holding(Millis(self.now))
+            .map(|task| &task.job)
+            .collect();
+        let ids = self.jobs.iter().map(JobPlan::id);
+        let open = ids.filter(|id| !self.over(id) && !present.contains(id));
+        let lost = open.filter_map(|id| {
+            if !self.rules.accepted.contains(&id) {
+                return Some(format!("{id} was never accepted"));
+            }
+            let reasons = self.nodes.iter().flatten();
+            let mut reasons = reasons.filter_map(|node| node.waits_for(&id));
+            let named = reasons.next().is_some();
+            (!named).then(|| format!("{id} waits for nothing"))
+        });
+        lost.collect()
+    }
+
     /// Jobs that were submitted and are neither done, cancelled nor services.
     pub fn unfinished(&self) -> Vec<JobId> {
         let service = |id: &JobId| {
--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -105,6 +105,7 @@
         self.mark_idle();
         self.log_use();
         self.delete_lost();
+        self.leave_the_gone();
         if self.without_store().0 < 4_000 {
             self.rent_and_return();
         }
@@ -198,6 +199,7 @@
         let mut lost: Vec<HostId> = Vec::new();
         let mut silenced: Vec<Suspect> = Vec::new();
         let mut zones: BTreeMap<Zone, Seen> = BTreeMap::new();
+        let early = Millis::from_secs(3.2 * self.settings.deployment.workers.report_s + 1.0);
         for (host, rented) in &self.fleet.hosts {
             let boot = self.flavor(&rented.rig).map_or(60.0, |f| f.boot_s.max(5.0));
             let machine = self.machines.get(host);
@@ -211,14 +213,18 @@
                 seen.machines += 1;
                 let asked = silent.held > HOLDER_ASKS && silent.since_heard > self.silence();
                 seen.silent += u32::from(asked);
+                let doubtful = machine.is_some_and(|m| m.hearing.doubtful(self.now, early));
+                seen.deaf += u32::from(doubtful && silent.since_heard > early);
             }
             let never = rented.stage == Stage::Booting
                 && self.now.since(rented.since) > Millis::from_secs(boot * NEVER + 10.0);
-            let early = Millis::from_secs(3.2 * self.settings.deployment.workers.report_s + 1.0);
             let dead = rented.stage == Stage::Running
                 && silent.as_ref().is_some_and(|silent| {
                     // A new holder asks each machine itself, so a few seconds suffice for it.
-                    let early = silent.since_heard > early && silent.held > HOLDER_ASKS;
+                    // One that speaks and does not hear may hear again; a lease without proof is
+                    // enough.
+                    let quiet = machine.is_none_or(|m| !m.hearing.doubtful(self.now, early));
+                    let early = quiet && silent.since_heard > early && silent.held > HOLDER_ASKS;
                     silent.outlasts(lease) || early && self.zone_speaks(host, &rented.zone)
                 });
             let sick = machine.is_some_and(|m| m.sick || m.warned && m.tasks.is_empty())
@@ -769,19 +775,41 @@
             self.fleet.hosts.remove(&host);
             self.drains.remove(&host);
             self.machines.remove(&host);
-            for (job, index) in self.jobs.on_host(&host) {
-                let placement = self.jobs.get(job).and_then(|j| j.task(*index).placement());
-                let Some(attempt) = placement.map(|p| p.attempt) else {
-                    continue;
-                };
-                let release = Change::Release {
-                    attempt,
-                    evidence: Evidence::Deleted,
-                };
-                changes.push((job.clone(), *index, release));
-            }
+            self.gone_from(&host, &mut changes);
             self.fleet.gone.insert(host);
         }
         self.note_changes(changes);
     }
+
+    /// What the records still have on a machine that is deleted has left it.
+    fn gone_from(&self, host: &HostId, changes: &mut Vec<(JobId, u32, Change)>) {
+        for (id, index) in self.jobs.on_host(host) {
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            let placement = job.task(*index).placement();
+            if let Some(attempt) = placement.map(|p| p.attempt)
+                && !job.changes.contains_key(index)
+            {
+                let evidence = Evidence::Deleted;
+                changes.push((id.clone(), *index, Change::Release { attempt, evidence }));
+            }
+        }
+    }
+
+    /// A holder that had not heard of a deletion placed tasks on the machine after it, by a late
+    /// copy of a report, or what was to be written of it was overtaken: nobody else will ever see
+    /// these tasks leave.
+    fn leave_the_gone(&mut self) {
+        let hosts = self.jobs.hosts();
+        let gone: Vec<HostId> = hosts
+            .filter(|h| self.fleet.gone.contains(*h))
+            .cloned()
+            .collect();
+        let mut changes = Vec::new();
+        for host in gone {
+            self.gone_from(&host, &mut changes);
+        }
+        self.note_changes(changes);
+    }
 }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -13,6 +13,7 @@
 mod sharing;
 mod trying;
 mod users;
+mod waiting;
 mod zones;
 
 use std::net::SocketAddr;
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -1043,6 +1043,7 @@
             machine.heard = machine.heard.max(now - Millis(pulse.silent_ms));
             machine.heard_by = from.clone();
             machine.session = machine.session.max(Session(pulse.session));
+            machine.hearing.told(!pulse.doubtful, now);
             machine.warned = pulse.warned;
             if machine.sick && !pulse.sick {
                 // It was the jobs, not the machine.
@@ -1086,6 +1087,7 @@
                 host: machine.host.to_string(),
                 silent_ms: self.now.since(machine.heard).0,
                 session: machine.session.0,
+                doubtful: !machine.hearing.proved(),
                 warned: machine.warned,
                 sick: machine.sick,
                 draining: self.drains.contains(&machine.host),
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -1,7 +1,6 @@
 //! Workers' reports: who answers them, and what they prove.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 
 use rustc_hash::FxHashSet as HashSet;
 
@@ -10,9 +9,8 @@
 use crate::jobs::Shape;
 use crate::jobs::cache::{Change, Evidence, Job};
 use crate::queue;
-use crate::types::{
-    Attempt, Baton, BlockId, HostId, JobId, Millis, NodeId, ReplyId, Session, TaskId, Token, Zone,
-};
+use crate::types::{Attempt, BlockId, HostId, JobId, Millis, NodeId, ReplyId, TaskId, Token, Zone};
+use crate::workers::hearing::Said;
 use crate::workers::reconcile::{Stop, reconcile};
 use crate::workers::wire::{Cause, Order, Report, ReportAnswer, TaskStage};
 use crate::workers::{FETCHES_LAST, Machine, block_of};
@@ -181,6 +179,10 @@
         };
         let (now, me) = (self.now, self.me.clone());
         let silence = self.silence();
+        let lease_s = self.settings.deployment.workers.lease_s;
+        // A session that ends sooner after an answer has not heard it.
+        let most = Millis::from_secs(lease_s * 0.75);
+        let lease = Millis::from_secs(lease_s * 1.05 + 2.0);
         let machine = self.machines.entry(report.host.clone()).or_insert_with(|| {
             let (rig, zone) = (report.rig.clone(), report.yard.clone());
             Machine::new(
@@ -192,13 +194,32 @@
                 me.clone(),
             )
         });
-        // Whatever its age, the worker's lease may be renewed by this answer.
-        machine.answered = Some((token, now));
         if !machine.newer(report.shift, report.tally) {
+            // Whatever its age, the worker's lease may be renewed by this answer.
+            machine.answered = Some((token, now));
             return none;
         }
         let was_fit = machine.fit(now, silence) && machine.baton.token() >= token;
+        let answered = machine.answered;
+        machine.answered = Some((token, now));
+        let said = Said {
+            session: report.shift,
+            unexpected: now.since(machine.heard) > silence,
+            broken: report.shift > machine.session
+                && answered.is_some_and(|(under, at)| under == token && now.since(at) < most),
+            obeyed: machine.obeyed(&report),
+        };
+        machine.hearing.reported(said, lease, now);
         machine.take_in(&report, now, &me);
+        let ask = !machine.hearing.proved();
+        let host = report.host.clone();
+        if ask {
+            // Whether it is there, and hears us, is asked at once.
+            self.ask(&host);
+        }
+        let Some(machine) = self.machines.get_mut(&host) else {
+            return none;
+        };
         if machine.baton.token() < token || !complete {
             // Its first report to us: it sees our token in the answer and reports again at once. A
             // holder that does not know yet what was placed before it came gives no orders: a
@@ -208,7 +229,6 @@
         machine.direct.enter(token, machine.session);
         machine.direct.riding.clear();
         let fit = machine.fit(now, silence);
-        let host = report.host;
         if fit && !was_fit {
             self.wake(queue::Event::Machine(host.clone()));
         }
@@ -233,6 +253,7 @@
             return;
         };
         let heard = machine.answered.is_some_and(|(under, _)| under == token)
+            && machine.hearing.proved()
             && self.now.since(machine.heard) <= self.silence();
         if !heard || !self.may_answer() {
             return;
@@ -280,7 +301,7 @@
     }
 
     pub(super) fn on_direct(&mut self, host: &HostId, answer: Option<DirectAnswer>) {
-        let (now, me) = (self.now, self.me.clone());
+        let (now, me, silence) = (self.now, self.me.clone(), self.silence());
         let Some(machine) = self.machines.get_mut(host) else {
             return;
         };
@@ -298,9 +319,14 @@
             && report.baton.token() <= token
             && machine.newer(report.shift, report.tally)
         {
+            let was_fit = machine.fit(now, silence) && machine.baton.token() >= token;
+            machine.hearing.prove();
             machine.take_in(&report, now, &me);
             if machine.baton.token() == token {
                 machine.direct.enter(token, report.shift);
+                if machine.fit(now, silence) && !was_fit {
+                    self.wake(queue::Event::Machine(host.clone()));
+                }
                 self.see_to(host, token);
             }
         }
@@ -486,31 +512,44 @@
     }
 
     /// Shows our token to the machines of our blocks that have not seen it: until then they may
-    /// go on reporting to an earlier holder, who may not know that it is one.
+    /// go on reporting to an earlier holder, who may not know that it is one. Asks those that speak
+    /// and are not proved to hear.
     pub(super) fn fence(&mut self) {
-        let unaware: Vec<(HostId, SocketAddr, Baton, Session)> = self
-            .machines
-            .values()
-            .filter(|m| !m.direct.busy && !self.fleet.gone.contains(&m.host))
-            .filter_map(|m| {
-                let baton = self.baton(self.token_for(&m.block)?);
-                let unaware = m.baton < baton;
-                unaware.then_some((m.host.clone(), m.address?, baton, m.session))
-            })
-            .collect();
-        for (host, address, baton, session) in unaware {
-            if let Some(machine) = self.machines.get_mut(&host) {
-                machine.direct.busy = true;
-                machine.direct.sent.clear();
-            }
-            self.effects.push(Effect::Direct {
-                host,
-                address,
-                baton,
-                session,
-                orders: Vec::new(),
-            });
+        let (now, silence) = (self.now, self.silence());
+        let unaware = self.machines.values().filter(|m| {
+            let token = self.token_for(&m.block);
+            let unaware = token.is_some_and(|token| m.baton < self.baton(token));
+            unaware || token.is_some() && m.hearing.doubtful(now, silence)
+        });
+        let unaware: Vec<HostId> = unaware.map(|m| m.host.clone()).collect();
+        for host in unaware {
+            self.ask(&host);
+        }
+    }
+
+    /// Sends a machine of ours nothing but our token. Its answer is new, and proves that it hears.
+    fn ask(&mut self, host: &HostId) {
+        let Some(machine) = self.machines.get(host) else {
+            return;
+        };
+        let (Some(address), Some(token)) = (machine.address, self.token_for(&machine.block)) else {
+            return;
+        };
+        if machine.direct.busy || self.fleet.gone.contains(host) {
+            return;
         }
+        let (baton, session, host) = (self.baton(token), machine.session, host.clone());
+        if let Some(machine) = self.machines.get_mut(&host) {
+            machine.direct.busy = true;
+            machine.direct.sent.clear();
+        }
+        self.effects.push(Effect::Direct {
+            host,
+            address,
+            baton,
+            session,
+            orders: Vec::new(),
+        });
     }
 
     /// Once in a while: leases of workers that ran out by our own clock, stops that are over, and
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -89,6 +89,8 @@
     /// Milliseconds since the worker was heard.
     pub silent_ms: u64,
     pub session: u64,
+    /// It speaks, but nothing proves that it hears.
+    pub doubtful: bool,
     pub warned: bool,
     pub sick: bool,
     pub draining: bool,
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -31,6 +31,24 @@
     Attempt,
 }
 
+/// What a job waits for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// Its turn: nothing else stands in the way.
+    Turn,
+    Backoff {
+        until: Millis,
+    },
+    /// Every machine was rejected by one of these.
+    Rejected {
+        checks: BTreeSet<Check>,
+    },
+    /// What was decided of it has to be written, or its fate to become known.
+    Writing,
+    /// Tasks of an attempt, or of a try, that have to leave their machines first.
+    Leaving,
+}
+
 /// A change in the cluster that may help a parked task.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -137,6 +155,18 @@
         }
     }
 
+    /// What a queued job waits for.
+    pub fn waits_for(&self, job: &JobId) -> Option<Cause> {
+        let entry = self.entries.get(job)?;
+        Some(match &entry.place {
+            Place::Active(_) => Cause::Turn,
+            Place::Backoff { until } => Cause::Backoff { until: *until },
+            Place::Parked { checks, .. } => Cause::Rejected {
+                checks: checks.clone(),
+            },
+        })
+    }
+
     pub fn contains(&self, job: &JobId) -> bool {
         self.entries.contains_key(job)
     }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod direct;
+pub mod hearing;
 pub mod reconcile;
 pub mod wire;
 
@@ -14,6 +15,7 @@
     Attempt, Baton, BlockId, HostId, Image, JobId, Millis, NodeId, Session, Sku, TaskId, Token,
     Zone,
 };
+use hearing::Hearing;
 use wire::{Cause, Report, TaskStage};
 
 /// A task as its machine reported it.
@@ -45,8 +47,9 @@
     pub baton: Baton,
     /// When the last report was received that we answered under a token of ours, and that token.
     pub answered: Option<(Token, Millis)>,
-    /// When anybody last heard from the worker.
+    /// When anybody last heard from the worker, and could take that for a sign of life.
     pub heard: Millis,
+    pub hearing: Hearing,
     /// Who heard.
     pub heard_by: NodeId,
     pub tasks: BTreeMap<TaskId, Seen>,
@@ -129,6 +132,7 @@
             baton: Baton(0),
             answered: None,
             heard: Millis(0),
+            hearing: Hearing::default(),
             heard_by: by,
             tasks: BTreeMap::new(),
             warned: false,
@@ -148,12 +152,15 @@
         (session, tally) > (self.session, self.tally)
     }
 
-    /// Takes in a report that is known to be newer.
+    /// Takes in a report that is known to be newer. Only of a machine that hears us is it a sign of
+    /// life.
     pub fn take_in(&mut self, report: &Report, now: Millis, by: &NodeId) {
         self.session = report.shift;
         self.tally = report.tally;
         self.baton = report.baton;
-        self.heard = now;
+        if self.hearing.proved() || self.heard == Millis(0) {
+            self.heard = now;
+        }
         self.heard_by = by.clone();
         self.address = report.address.parse().ok();
         self.warned = report.warning_s.is_some();
@@ -171,6 +178,20 @@
             .collect();
     }
 
+    /// Whether a report shows any of the starts that rode on the answer to the last one; none: there
+    /// were none, or the worker began anew since.
+    pub fn obeyed(&self, report: &Report) -> Option<bool> {
+        let riding = &self.direct.riding;
+        if riding.is_empty() || report.shift != self.session {
+            return None;
+        }
+        let shown = |pick: &wire::Pick| {
+            let start = TaskId::parse(&pick.pick).map(|task| (task, pick.attempt));
+            start.is_some_and(|start| riding.contains(&start))
+        };
+        Some(report.picks.iter().any(shown))
+    }
+
     /// An image was used just now. The cache keeps the most recently used ones: those that fell
     /// out must not draw tasks here.
     pub fn note_image(&mut self, image: &Image, gb: f64, cache_gb: f64, now: Millis) {
@@ -227,7 +248,8 @@
 
     /// Fit for new tasks, as far as its own condition goes.
     pub fn fit(&self, now: Millis, silence: Millis) -> bool {
-        !self.warned
+        self.hearing.proved()
+            && !self.warned
             && !self.sick
             && !self.draining
             && now >= self.refused_until
--- a/src/zones/silence.rs
+++ b/src/zones/silence.rs
@@ -30,6 +30,8 @@
     /// Machines of which somebody can tell whether they are silent.
     pub machines: u32,
     pub silent: u32,
+    /// Machines that speak, and are not proved to hear for long.
+    pub deaf: u32,
     /// The zone has controllers, and none of them is in contact.
     pub controllers_silent: bool,
 }
@@ -100,7 +102,10 @@
         state.machines = seen.machines;
         let silent = f64::from(seen.silent) / f64::from(seen.machines);
         let was = state.standing;
-        let cut = over(silent, CUT, was == Standing::CutOff) && seen.controllers_silent;
+        let deaf = f64::from(seen.deaf) / f64::from(seen.machines);
+        // Many that speak and do not hear are no dead machines: it is the way to them.
+        let cut = over(silent, CUT, was == Standing::CutOff) && seen.controllers_silent
+            || over(deaf, PART, was == Standing::CutOff);
         let part = over(silent, PART, was != Standing::Sound);
         let next = match (was, cut, part) {
             (_, true, _) => Standing::CutOff,
@@ -190,6 +195,7 @@
         Seen {
             machines,
             silent,
+            deaf: 0,
             controllers_silent,
         }
     }
