A gang is done by any of its tasks; faulty machines tell apart from jobs that have no others

Change: one task that is done shows that all of its attempt are; a machine is sick after four tries in a row, and what failed there then no longer speaks against jobs.

--- a/src/controller/committing.rs
+++ b/src/controller/committing.rs
@@ -7,7 +7,7 @@
 use crate::admission::backlog::Lane;
 use crate::jobs::cache::{Change, Evidence, Job, Writing};
 use crate::jobs::record::{JobRecord, encode_page, job_key, page_key};
-use crate::jobs::{Phase, Placement, Rank, Shape, Task};
+use crate::jobs::{Phase, Rank, Shape, Task};
 use crate::lease::{LEADER, block_key};
 use crate::peers::{Left, Message};
 use crate::quota;
@@ -260,17 +260,26 @@
             }
             changes.push((*index, change.clone()));
         }
-        // The tasks of a gang complete together: one that is done shows that all are.
-        let together = job.whole_gang()
-            && job.active()
-            && job.placed == job.record.tasks
-            && changes.iter().any(|(_, change)| change.finishes());
-        if together && job.record.pages() as usize <= MOST_PAGES {
+        // The tasks of a gang complete together: one that is done shows that all of its attempt are,
+        // also those that left their machines unseen.
+        let finished = changes.iter().find_map(|(_, change)| match change {
+            Change::Finish { attempt } => Some(*attempt),
+            _ => None,
+        });
+        if let Some(finished) = finished.filter(|_| job.whole_gang() && job.active())
+            && job.record.pages() as usize <= MOST_PAGES
+        {
             for page in 0..job.record.pages() {
                 let tasks = pages.entry(page).or_insert_with(|| job.page_tasks(page));
                 for (index, task) in (page * job.record.page..).zip(tasks) {
-                    if let Task::Placed(Placement { attempt, .. }) = *task {
+                    let attempt = match task {
+                        Task::Placed(placement) => placement.attempt,
+                        Task::Waiting { tried } => *tried,
+                        Task::Done => continue,
+                    };
+                    if attempt == finished {
                         *task = Task::Done;
+                        changes.retain(|(other, _)| *other != index);
                         changes.push((index, Change::Finish { attempt }));
                     }
                 }
@@ -492,7 +501,7 @@
 
     use super::*;
     use crate::jobs::api::{parse, tests::body};
-    use crate::jobs::{Shape, Spec};
+    use crate::jobs::{Placement, Spec};
     use crate::lease::Own;
     use crate::settings::{Settings, tests::settings};
     use crate::store::Call;
@@ -661,6 +670,51 @@
         }
     }
 
+    /// A gang completed, and one of its machines came back at once with nothing on it: what it had was
+    /// released, the rest was done, and the gang waited for a task that nobody could place.
+    #[test]
+    fn one_task_of_a_gang_that_is_done_shows_that_all_of_its_attempt_are() {
+        let waits = |tried| Task::Waiting {
+            tried: Attempt(tried),
+        };
+        let finish = Change::Finish {
+            attempt: Attempt(2),
+        };
+        let release = Change::Release {
+            attempt: Attempt(2),
+            evidence: Evidence::Holder(Token(5)),
+        };
+        let cases = [
+            // the other task, what is noted of it, the gang is done
+            (placed("vm-b", "b.0", 2), None, true),
+            (placed("vm-b", "b.0", 2), Some(release), true),
+            (waits(2), None, true),
+            (waits(3), None, false),
+        ];
+        for (mate, noted, done) in cases {
+            let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+            (spec.shape, spec.tasks) = (Shape::Gang, 2);
+            let tasks = vec![placed("vm-a", "a.0", 2), mate.clone()];
+            let (mut controller, id) = controller(spec, tasks);
+            controller.jobs.want(&id, 0, finish.clone());
+            if let Some(noted) = noted {
+                controller.jobs.want(&id, 1, noted);
+            }
+            controller.write(&id);
+            let ends = controller.effects.iter().any(|effect| {
+                let Effect::Store { call, .. } = effect else {
+                    return false;
+                };
+                let over = |c: &crate::store::Change| {
+                    matches!(c, crate::store::Change::Put { key, data, .. }
+                        if *key == job_key(&id) && data.contains("\"done\""))
+                };
+                matches!(call, Call::Txn(txn) if txn.changes.iter().any(over))
+            });
+            assert_eq!(ends, done, "{mate:?}");
+        }
+    }
+
     /// While changes were short the room that a gang had made for it came free in the records 2.5 s
     /// late, since the first starts of arrays wait so long for more; and a start waits.
     #[test]
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -1049,6 +1049,9 @@
                 // It was the jobs, not the machine.
                 self.drains.remove(&machine.host);
             }
+            if pulse.sick && !machine.sick {
+                self.trials.sick(&machine.host, now);
+            }
             machine.sick = pulse.sick;
             machine.draining = pulse.draining;
             if !was_fit && machine.fit(now, silence) {
--- a/src/controller/trying.rs
+++ b/src/controller/trying.rs
@@ -4,6 +4,7 @@
 
 use super::{Controller, Effect};
 use crate::jobs::cache::{Change, Job};
+use crate::jobs::trials::Trials;
 use crate::peers::Message;
 use crate::queue::Order;
 use crate::types::{HostId, JobId};
@@ -38,28 +39,29 @@
         };
         let fails_everywhere = job.done == 0;
         let newly = fails_everywhere && (self.trials).failed(id, job.spec.shape, host, self.now);
-        let (machines, trials, jobs) = (&mut self.machines, &self.trials, &self.jobs);
-        let suspect = |id: &JobId| {
+        let jobs = &self.jobs;
+        let suspect = |trials: &Trials, id: &JobId| {
             let done = jobs.get(id).is_some_and(|job| job.done > 0);
             !done && trials.suspect(id)
         };
         // Its holder judges a machine, and tells the others.
         let (leases, me) = (&self.leases, &self.me);
         let ours = |machine: &&mut Machine| leases.holds(&machine.block, me).is_some();
-        if let Some(machine) = machines.get_mut(host).filter(ours) {
-            machine.note_failure(id);
-            machine.judge(suspect);
+        if let Some(machine) = self.machines.get_mut(host).filter(ours) {
+            machine.note_failure(id, self.now);
+            machine.judge(|id| suspect(&self.trials, id));
             if machine.sick {
                 tracing::info!(%host, "the machine is sick");
+                self.trials.sick(host, self.now);
             }
         }
         if newly {
             tracing::info!(job = %id, "fails wherever it is tried: tried seldom from now on");
             // What it did to machines before that was not their fault.
-            for (host, machine) in machines.iter_mut() {
-                if machine.failed.contains(id) && ours(&machine) {
+            for (host, machine) in self.machines.iter_mut() {
+                if machine.failed.contains_key(id) && ours(&machine) {
                     let was = machine.sick;
-                    machine.judge(suspect);
+                    machine.judge(|id| suspect(&self.trials, id));
                     if was && !machine.sick {
                         self.drains.remove(host);
                     }
--- a/src/cycle.rs
+++ b/src/cycle.rs
@@ -126,7 +126,7 @@
             }
             None => {
                 let machine = candidate.machine;
-                let score = score(&job.spec, &candidate, machine.failed.contains(&job.id));
+                let score = score(&job.spec, &candidate, machine.failed.contains_key(&job.id));
                 if best.is_none_or(|(high, host)| {
                     score > high || (score == high && machine.host < *host)
                 }) {
--- a/src/jobs/trials.rs
+++ b/src/jobs/trials.rs
@@ -66,6 +66,16 @@
         self.jobs.get(job).is_some_and(|trial| trial.suspect)
     }
 
+    /// A machine turned out to be sick: what failed there does not speak against jobs any more.
+    pub fn sick(&mut self, host: &HostId, now: Millis) {
+        for trial in self.jobs.values_mut() {
+            if trial.failed_on.remove(host) {
+                trial.suspect &= trial.failed_on.len() >= SUSPECT_AFTER;
+                trial.not_before = now;
+            }
+        }
+    }
+
     /// When a suspect job may be tried again.
     pub fn not_before(&self, job: &JobId) -> Option<Millis> {
         let trial = self.jobs.get(job).filter(|trial| trial.suspect)?;
@@ -107,6 +117,15 @@
             assert!(!trials.suspect(&job), "one success clears it");
         }
         let mut trials = Trials::default();
+        for (host, at) in [(0, 5), (1, 5), (2, 6), (0, 9)] {
+            trials.failed(&job, Shape::Gang, &hosts[host], Millis(at));
+        }
+        // It was the machines after all.
+        for (sick, suspect) in [(2, true), (1, false), (0, false)] {
+            trials.sick(&hosts[sick], Millis(20));
+            assert_eq!(trials.suspect(&job), suspect, "{sick} is sick");
+        }
+        let mut trials = Trials::default();
         let mut now = Millis(1_000);
         let mut waits = Vec::new();
         for round in 0..8 {
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -6,7 +6,7 @@
 pub mod reconcile;
 pub mod wire;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use rustc_hash::{FxHashMap as HashMap, FxHashSet as HashSet};
@@ -55,7 +55,7 @@
     pub tasks: BTreeMap<TaskId, Seen>,
     pub warned: bool,
     /// Jobs whose tasks failed here since the last success.
-    pub failed: BTreeSet<JobId>,
+    pub failed: BTreeMap<JobId, Failed>,
     pub sick: bool,
     /// The leader wants to return it.
     pub draining: bool,
@@ -116,8 +116,18 @@
 
 /// A machine is sick once tasks of this many jobs failed on it in a row.
 const SICK_AFTER: usize = 2;
-/// The same for jobs that are suspect themselves: they speak against it only in number.
-const SICK_AFTER_SUSPECTS: usize = 5;
+/// And after so many tries in a row that failed, though the jobs are suspect themselves: a job that
+/// has nowhere else to go is tried on faulty machines again and again.
+const SICK_AFTER_TRIES: u32 = 4;
+/// Tasks that fail closer together were started together.
+const ONE_TRY: Millis = Millis(5_000);
+
+/// Tries of a job that failed on a machine in a row, and when one did last.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Failed {
+    tries: u32,
+    last: Millis,
+}
 
 impl Machine {
     pub fn new(host: HostId, rig: Sku, zone: Zone, spot: bool, block: BlockId, by: NodeId) -> Self {
@@ -136,7 +146,7 @@
             heard_by: by,
             tasks: BTreeMap::new(),
             warned: false,
-            failed: BTreeSet::new(),
+            failed: BTreeMap::new(),
             sick: false,
             draining: false,
             refused_until: Millis(0),
@@ -256,15 +266,20 @@
             && now.since(self.heard) <= silence
     }
 
-    pub fn note_failure(&mut self, job: &JobId) {
-        self.failed.insert(job.clone());
+    pub fn note_failure(&mut self, job: &JobId, now: Millis) {
+        let failed = self.failed.entry(job.clone()).or_default();
+        if failed.tries == 0 || now.since(failed.last) > ONE_TRY {
+            failed.tries += 1;
+        }
+        failed.last = now;
     }
 
     /// Decides anew whether it is the machine that fails tasks, or the jobs. Two jobs with a mistake
     /// would else take any sound machine that they are tried on.
     pub fn judge(&mut self, suspect: impl Fn(&JobId) -> bool) {
-        let sound = self.failed.iter().filter(|job| !suspect(job)).count();
-        self.sick = sound >= SICK_AFTER || self.failed.len() >= SICK_AFTER_SUSPECTS;
+        let sound = self.failed.keys().filter(|job| !suspect(job)).count();
+        let tries: u32 = self.failed.values().map(|failed| failed.tries).sum();
+        self.sick = sound >= SICK_AFTER || tries >= SICK_AFTER_TRIES;
     }
 
     pub fn note_success(&mut self) {
@@ -291,6 +306,49 @@
 mod tests {
     use super::*;
 
+    /// Two jobs with a mistake had any sound machine deleted that they were tried on; and a gang whose
+    /// only machines were faulty was held to be the faulty one, and waited for them for ever.
+    #[test]
+    fn a_machine_is_judged_by_who_failed_and_how_often() {
+        type Failures = &'static [(&'static str, u64)];
+        let cases: [(Failures, &[&str], bool); 7] = [
+            // job and second of each failure, suspect jobs, sick
+            (&[("job-1", 1)], &[], false),
+            (&[("job-1", 1), ("job-2", 2)], &[], true),
+            (&[("job-1", 1), ("job-2", 2)], &["job-1"], false),
+            (
+                &[("job-1", 1), ("job-2", 2), ("job-3", 3)],
+                &["job-1"],
+                true,
+            ),
+            (
+                &[("job-1", 1), ("job-1", 2), ("job-1", 3), ("job-1", 4)],
+                &["job-1"],
+                false,
+            ),
+            (
+                &[("job-1", 1), ("job-1", 9), ("job-1", 20)],
+                &["job-1"],
+                false,
+            ),
+            (
+                &[("job-1", 1), ("job-1", 9), ("job-1", 20), ("job-1", 40)],
+                &["job-1"],
+                true,
+            ),
+        ];
+        for (failures, suspects, sick) in cases {
+            let (host, rig, zone) = ("vm-1".into(), "g8".into(), "a".into());
+            let block = BlockId::parse("a.0").unwrap();
+            let mut machine = Machine::new(host, rig, zone, false, block, "n0".into());
+            for (job, at) in failures {
+                machine.note_failure(&(*job).into(), Millis(at * 1_000));
+            }
+            machine.judge(|job| suspects.contains(&job.as_str()));
+            assert_eq!(machine.sick, sick, "{failures:?}, suspect: {suspects:?}");
+        }
+    }
+
     /// Fetches were taken for over after a minute, when one of 20 GB takes three, and a machine
     /// that fetched two other images looked hardly worse than one that fetched none.
     #[test]
