--- a/crates/region/tests/troubles.rs
+++ b/crates/region/tests/troubles.rs
@@ -210,10 +210,20 @@
         }
         for (host, m) in &world.machines.hosts {
             eprintln!(
-                "{host} dead {:?} session {} tasks {:?}",
+                "{host} dead {:?} session {} sick {} zone {} spot {} node {} tasks {:?} {:?}",
                 m.dead,
                 m.session,
-                m.tasks.keys().collect::<Vec<_>>()
+                m.sick,
+                m.zone,
+                m.spot,
+                m.node,
+                m.tasks,
+                world
+                    .nodes
+                    .iter()
+                    .flatten()
+                    .map(|n| n.machine(host))
+                    .collect::<Vec<_>>()
             );
         }
     }
--- a/src/controller/waiting.rs
+++ b/src/controller/waiting.rs
@@ -6,6 +6,19 @@
 use crate::types::JobId;
 
 impl Controller {
+    pub fn machine(&self, host: &crate::types::HostId) -> String {
+        format!(
+            "{:?}",
+            self.machines.get(host).map(|m| (
+                m.sick,
+                m.failed.clone(),
+                m.hearing,
+                m.baton,
+                self.token_for(&m.block),
+                self.drains.contains(host)
+            ))
+        )
+    }
     pub fn describe(&self, id: &JobId) -> String {
         let job = self.jobs.get(id);
         format!(
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -122,7 +122,7 @@
 /// Tasks that fail closer together were started together.
 const ONE_TRY: Millis = Millis(5_000);
 
-/// Tries of a job that failed on a machine in a row, and when one did last.
+/// Tries of a job that failed on a machine in a row, and when the last of them did first.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Failed {
     tries: u32,
@@ -270,8 +270,8 @@
         let failed = self.failed.entry(job.clone()).or_default();
         if failed.tries == 0 || now.since(failed.last) > ONE_TRY {
             failed.tries += 1;
+            failed.last = now;
         }
-        failed.last = now;
     }
 
     /// Decides anew whether it is the machine that fails tasks, or the jobs. Two jobs with a mistake
@@ -311,7 +311,7 @@
     #[test]
     fn a_machine_is_judged_by_who_failed_and_how_often() {
         type Failures = &'static [(&'static str, u64)];
-        let cases: [(Failures, &[&str], bool); 7] = [
+        let cases: [(Failures, &[&str], bool); 8] = [
             // job and second of each failure, suspect jobs, sick
             (&[("job-1", 1)], &[], false),
             (&[("job-1", 1), ("job-2", 2)], &[], true),
@@ -331,6 +331,19 @@
                 &["job-1"],
                 false,
             ),
+            (
+                &[
+                    ("job-1", 1),
+                    ("job-1", 5),
+                    ("job-1", 9),
+                    ("job-1", 13),
+                    ("job-1", 17),
+                    ("job-1", 21),
+                    ("job-1", 25),
+                ],
+                &["job-1"],
+                true,
+            ),
             (
                 &[("job-1", 1), ("job-1", 9), ("job-1", 20), ("job-1", 40)],
                 &["job-1"],
