--- a/crates/region/tests/troubles.rs
+++ b/crates/region/tests/troubles.rs
@@ -200,33 +200,6 @@
         .collect();
     let mut unfinished = world.unfinished();
     unfinished.retain(|id| !broken.contains(id));
-    for id in &unfinished {
-        for (index, node) in world.nodes.iter().enumerate() {
-            let waits = node.as_ref().map(|node| node.waits_for(id));
-            eprintln!(
-                "{name}: {id} on {index}: {waits:?} {:?}",
-                node.as_ref().map(|n| n.describe(id))
-            );
-        }
-        for (host, m) in &world.machines.hosts {
-            eprintln!(
-                "{host} dead {:?} session {} sick {} zone {} spot {} node {} tasks {:?} {:?}",
-                m.dead,
-                m.session,
-                m.sick,
-                m.zone,
-                m.spot,
-                m.node,
-                m.tasks,
-                world
-                    .nodes
-                    .iter()
-                    .flatten()
-                    .map(|n| n.machine(host))
-                    .collect::<Vec<_>>()
-            );
-        }
-    }
     let violations = &world.rules.violations;
     assert!(violations.is_empty(), "{name}: {violations:?}");
     assert!(unfinished.is_empty(), "{name}: {unfinished:?}");
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -1042,7 +1042,7 @@
             let was_fit = machine.fit(now, silence);
             machine.heard = machine.heard.max(now - Millis(pulse.silent_ms));
             machine.heard_by = from.clone();
-            machine.session = machine.session.max(Session(pulse.session));
+            machine.session = Session(pulse.session);
             machine.hearing.told(!pulse.doubtful, now);
             machine.warned = pulse.warned;
             if machine.sick && !pulse.sick {
--- a/src/workers/reconcile.rs
+++ b/src/workers/reconcile.rs
@@ -156,7 +156,10 @@
             attempt: placement.attempt,
             evidence: Evidence::Holder(token),
         };
-        if placement.session < machine.session {
+        // A machine that came back with its counters begun anew shows a lower session than an earlier
+        // holder saw. Only one that was asked and answered: to us its sessions only rise.
+        let anew = placement.session > machine.session && machine.hearing.proved();
+        if placement.session < machine.session || anew {
             // The worker began a new session, so it killed all it had.
             out.changes.push((id.clone(), *index, release));
         } else if placement.session == machine.session {
@@ -270,6 +273,53 @@
         }
     }
 
+    /// A machine came back at once with its counters begun anew, and its block changed hands: its new
+    /// holder found tasks of a session that the machine had not reached yet, and waited for ever.
+    #[test]
+    fn tasks_of_another_session_are_gone() {
+        let cases = [
+            // session of the placement, of the machine, it was asked and answered, released
+            (1, 2, false, true),
+            (2, 1, true, true),
+            (2, 1, false, false),
+            (2, 2, true, false),
+        ];
+        for (placed, now, proved, released) in cases {
+            let (id, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+            spec.tasks = 1;
+            let block = BlockId::parse("a.0").unwrap();
+            let placement = Placement {
+                host: "vm-1".into(),
+                block: block.clone(),
+                session: Session(placed),
+                attempt: Attempt(1),
+            };
+            let record = JobRecord {
+                phase: Phase::Active,
+                home: "n0".into(),
+                tasks: 1,
+                page: 8,
+                spec: Some(spec),
+            };
+            let mut jobs = Jobs::default();
+            let record = serde_json::to_string(&record).unwrap();
+            jobs.feed(&job_key(&id), Some(&record), Revision(5), Millis(1));
+            let page = encode_page(&[Task::Placed(placement)]);
+            jobs.feed(&page_key(&id, 0), Some(&page), Revision(6), Millis(1));
+            let (host, rig, zone) = ("vm-1".into(), "g8".into(), "a".into());
+            let mut machine = Machine::new(host, rig, zone, false, block, "n0".into());
+            (machine.session, machine.baton) = (Session(now), Baton::of(Token(4)));
+            if proved {
+                machine.hearing.prove();
+            }
+            let outcome = reconcile(&machine, Token(4), &jobs, &Stops::default(), |_| false);
+            let release =
+                |(_, _, change): &(JobId, u32, Change)| matches!(change, Change::Release { .. });
+            let found = outcome.changes.iter().any(release);
+            assert_eq!(found, released, "placed in {placed}, now {now}, {proved}");
+        }
+    }
+
     /// A task was stopped for another just after its start had left with the answer to a report.
     /// An answer to direct orders, written before the start came, did not show it; its room was
     /// given up, it was placed elsewhere and ran twice.
