--- a/crates/region/src/sim.rs
+++ b/crates/region/src/sim.rs
@@ -483,6 +483,7 @@
         let Some(controller) = &mut self.nodes[node] else {
             return;
         };
+        let _span = tracing::info_span!("at", now = now.0, node).entered();
         for effect in controller.handle(event, now) {
             self.carry_out(node, effect);
         }
--- a/crates/region/tests/troubles.rs
+++ b/crates/region/tests/troubles.rs
@@ -296,6 +296,14 @@
     let count = count.and_then(|text| text.parse().ok()).unwrap_or(12);
     let from = std::env::var("TROUBLE_FROM").ok();
     let from = from.and_then(|text| text.parse().ok()).unwrap_or(1);
+    // For a look at one seed: what the controllers log of it.
+    if std::env::var("TROUBLE_LOG").is_ok() {
+        let level = tracing_subscriber::filter::LevelFilter::DEBUG;
+        let log = tracing_subscriber::fmt()
+            .with_max_level(level)
+            .without_time();
+        log.with_ansi(false).with_writer(std::io::stderr).init();
+    }
     for seed in from..from + count {
         let mut world = random_day(seed);
         finish(&mut world, &format!("seed {seed}"));
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -321,6 +321,13 @@
         {
             let was_fit = machine.fit(now, silence) && machine.baton.token() >= token;
             machine.hearing.prove();
+            if report.shift != machine.session
+                && let Some((_, at)) = &mut machine.answered
+            {
+                // The lease of a session that we did not know of runs from when it began, not from
+                // when we answered a report last.
+                *at = now;
+            }
             machine.take_in(&report, now, &me);
             if machine.baton.token() == token {
                 machine.direct.enter(token, report.shift);
