A start that may still come is made known to its worker and ended when nobody wants it

Change: it is started and stopped in one answer, so that a late copy of it does nothing and its end is seen.

--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -97,6 +97,11 @@
         self.loose.contains(&start) || self.riding.contains(&start)
     }
 
+    /// Whether a start was sent directly and may come minutes late.
+    pub fn is_loose(&self, task: &TaskId, attempt: Attempt) -> bool {
+        self.loose.contains(&(task.clone(), attempt))
+    }
+
     /// Starts of an earlier token or session are refused by the worker, whenever they come.
     pub fn enter(&mut self, token: Token, session: Session) {
         if self.under != (token, session) {
--- a/src/workers/reconcile.rs
+++ b/src/workers/reconcile.rs
@@ -140,6 +140,7 @@
             }),
         }
     }
+    let mut ended = Vec::new();
     for (id, index) in jobs.on_host(&machine.host) {
         let task = TaskId {
             job: id.clone(),
@@ -173,6 +174,20 @@
                 // proves whether a start was executed; one sent directly is loose until it is
                 // answered. Without either, none follows.
                 out.changes.push((id.clone(), *index, release));
+            } else if machine.direct.is_loose(&task, placement.attempt) {
+                // Nobody wants it, and its start may still come. Started and stopped now, the attempt
+                // is known to the worker, so the late start does nothing, and it is seen to have ended.
+                let attempt = placement.attempt;
+                let again = task.clone();
+                ended.push(Order::Start {
+                    task: again,
+                    attempt,
+                });
+                ended.push(Order::Stop {
+                    task,
+                    attempt,
+                    grace_s: 0.0,
+                });
             }
         }
     }
@@ -180,6 +195,7 @@
     out.orders
         .sort_by_key(|order| matches!(order, Order::Start { .. }));
     out.orders.truncate(MOST_ORDERS);
+    out.orders.extend(ended);
     out
 }
 
@@ -357,6 +373,7 @@
         )]);
         type Way = fn(&mut Machine, (TaskId, Attempt));
         let cases: [(&str, Way, bool); 4] = [
+            // how its start went, released
             ("no start was sent", |_, _| {}, true),
             (
                 "it left with the answer to the last report",
@@ -385,6 +402,16 @@
             way(&mut machine, (task.clone(), attempt));
             let outcome = reconcile(&machine, Token(4), &jobs, &stops, |_| false);
             assert_eq!(!outcome.changes.is_empty(), gone, "{name}");
+            // A gang waited for ever for a task whose start had been sent to a machine that did not
+            // hear: it is made known to the worker, and ended.
+            let loose = machine.direct.is_loose(&task, attempt);
+            let verbs = outcome.orders.iter().map(|order| match order {
+                Order::Start { .. } => "start",
+                Order::Stop { .. } => "stop",
+                Order::Forget { .. } => "forget",
+            });
+            let expected: &[&str] = if loose { &["start", "stop"] } else { &[] };
+            assert_eq!(verbs.collect::<Vec<_>>(), expected, "{name}");
         }
     }
 }
--- a/src/zones/silence.rs
+++ b/src/zones/silence.rs
@@ -105,7 +105,7 @@
         let deaf = f64::from(seen.deaf) / f64::from(seen.machines);
         // Many that speak and do not hear are no dead machines: it is the way to them.
         let cut = over(silent, CUT, was == Standing::CutOff) && seen.controllers_silent
-            || over(deaf, PART, was == Standing::CutOff);
+            || seen.deaf as usize >= LEAST && over(deaf, PART, was == Standing::CutOff);
         let part = over(silent, PART, was != Standing::Sound);
         let next = match (was, cut, part) {
             (_, true, _) => Standing::CutOff,
@@ -243,6 +243,21 @@
                 vec![PartlyLost, PartlyLost, Sound],
             ),
         ];
+        // Machines that speak and do not hear: a few are replaced, many are a cut.
+        for (machines, deaf, expected) in [(4, 2, PartlyLost), (100, 20, Sound), (100, 30, CutOff)]
+        {
+            let mut zones = Zones::default();
+            let observed = Seen {
+                deaf,
+                ..seen(machines, deaf, false)
+            };
+            zones.observe(&Zone::from("a"), observed, Millis(1));
+            assert_eq!(
+                zones.standing(&Zone::from("a")),
+                expected,
+                "{deaf} of {machines}"
+            );
+        }
         for (observations, expected) in cases {
             let (mut zones, zone) = (Zones::default(), Zone::from("a"));
             for (index, (observed, expected)) in observations.iter().zip(&expected).enumerate() {
