--- a/crates/region/src/machines.rs
+++ b/crates/region/src/machines.rs
@@ -78,6 +78,8 @@
     pub hung_until: Millis,
     /// Its reports arrive, but nothing reaches it until then.
     pub deaf_until: Millis,
+    /// When it last stopped and was back at once.
+    pub back: Millis,
     pub address: String,
 }
 
@@ -185,6 +187,7 @@
             unreachable_until: Millis(0),
             hung_until: Millis(0),
             deaf_until: Millis(0),
+            back: Millis(0),
             address: "10.1.0.1:1".into(),
         };
         self.hosts.insert(host.clone(), machine);
@@ -215,6 +218,7 @@
         let Some(machine) = self.hosts.get_mut(host).filter(|m| m.dead.is_none()) else {
             return;
         };
+        machine.back = now;
         machine.tasks.clear();
         machine.in_flight = None;
         (machine.lease_from, machine.next_report, machine.node) = (now, now, node);
--- a/crates/region/src/sim.rs
+++ b/crates/region/src/sim.rs
@@ -109,7 +109,8 @@
     Store(usize, u64, Waiting<(u64, Call)>, bool),
     /// A node's budget may allow another call.
     Budget(usize, u64),
-    Direct(usize, u64, HostId, Baton, Session, Vec<Order>, bool),
+    /// To a worker, when it was sent, and whether an answer is still waited for.
+    Direct(usize, u64, HostId, Baton, Session, Vec<Order>, u64, bool),
     Report(Outgoing),
     /// A copy of a report that was sent long ago.
     Copy(Outgoing),
@@ -399,8 +400,19 @@
                     self.spend(node);
                 }
             }
-            Msg::Direct(node, epoch, host, baton, session, orders, reply) => {
-                self.direct(node, epoch, host, baton, session, orders, reply);
+            Msg::Direct(node, epoch, host, baton, session, orders, sent, reply) => {
+                // A machine that stopped meanwhile has lost the connection it was sent on.
+                let stopped = self
+                    .machines
+                    .hosts
+                    .get(&host)
+                    .is_some_and(|m| m.back.0 > sent);
+                if !stopped {
+                    self.direct(node, epoch, host, baton, session, orders, reply);
+                } else if reply {
+                    let answer = None;
+                    self.send_to(node, self.now + 1, Event::Direct { host, answer });
+                }
             }
             Msg::Report(out) => self.report_arrives(out),
             Msg::Copy(out) => {
@@ -562,14 +574,15 @@
                 Some(cut) => {
                     if cut.hold {
                         let host = host.clone();
-                        let msg = Msg::Direct(node, epoch, host, baton, session, orders, false);
+                        let msg =
+                            Msg::Direct(node, epoch, host, baton, session, orders, now, false);
                         self.post(cut.until + 1, msg);
                     }
                     let answer = None;
                     self.send_to(node, now + DIRECT_LIMIT, Event::Direct { host, answer });
                 }
                 None => {
-                    let msg = Msg::Direct(node, epoch, host, baton, session, orders, true);
+                    let msg = Msg::Direct(node, epoch, host, baton, session, orders, now, true);
                     self.post(now + delay, msg);
                 }
             },
