--- a/src/controller/waiting.rs
+++ b/src/controller/waiting.rs
@@ -10,15 +10,22 @@
         format!(
             "{:?}",
             self.machines.get(host).map(|m| (
-                m.sick,
-                m.failed.clone(),
-                m.hearing,
-                m.baton,
-                self.token_for(&m.block),
-                self.drains.contains(host)
+                self.free(m).gpus,
+                m.draining,
+                m.refused_until,
+                self.drains.contains(host),
+                self.nominations
+                    .on(host, self.now)
+                    .map(|(j, r)| (j.clone(), r.gpus))
+                    .collect::<Vec<_>>(),
+                self.jobs.on_host(host).cloned().collect::<Vec<_>>(),
+                self.ours(m),
+                self.others(m),
+                self.fleet.gone.contains(host)
             ))
         )
     }
+
     pub fn describe(&self, id: &JobId) -> String {
         let job = self.jobs.get(id);
         format!(
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -177,6 +177,8 @@
             self.heard = now;
         }
         self.heard_by = by.clone();
+        // That was its last holder's word. Kept, it shut sound machines out for ever.
+        self.draining = false;
         self.address = report.address.parse().ok();
         self.warned = report.warning_s.is_some();
         self.tasks = report
@@ -311,6 +313,24 @@
 mod tests {
     use super::*;
 
+    /// A machine was being emptied when its block changed hands: its new holder held it to be so for
+    /// ever, and a gang waited beside four idle machines.
+    #[test]
+    fn what_an_earlier_holder_said_ends_with_its_hold() {
+        let (host, rig, zone) = ("vm-1".into(), "g8".into(), "a".into());
+        let block = BlockId::parse("a.0").unwrap();
+        let mut machine = Machine::new(host, rig, zone, false, block, "n1".into());
+        machine.hearing.told(true, Millis(1));
+        machine.draining = true;
+        let report = r#"{"host":"vm-1","rig":"g8","yard":"a","loaners":false,"shift":1,"tally":8,
+            "baton":41,"picks":[]}"#;
+        let report: Report = serde_json::from_str(report).unwrap();
+        let (now, silence) = (Millis(9_000), Millis(10_000));
+        assert!(!machine.fit(now, silence));
+        machine.take_in(&report, now, &"n0".into());
+        assert!(machine.fit(now, silence));
+    }
+
     /// Two jobs with a mistake had any sound machine deleted that they were tried on; and a gang whose
     /// only machines were faulty was held to be the faulty one, and waited for them for ever.
     #[test]
