Work of the lowest rank keeps off machines that stand ready for urgent work

Cause, by log on visitors: guests' arrays of the lowest rank filled every empty machine of a fleet that can grow no more, and gangs waited for them to save. Change: such work takes an empty machine only while more are empty than urgent work needs, or to begin at all within 30 s.

--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -606,7 +606,7 @@
     }
 
     /// Whole machines that should stand ready: what urgent work asks for while one boots.
-    fn headroom(&self) -> Vec<Headroom> {
+    pub(super) fn headroom(&self) -> Vec<Headroom> {
         let Some(flavor) = self
             .flavors
             .iter()
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -316,6 +316,8 @@
 struct Pool {
     built: Millis,
     stale: bool,
+    /// More machines are empty than stand ready for urgent work.
+    spare: bool,
     own: Vec<HostId>,
     others: Vec<HostId>,
 }
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -44,6 +44,8 @@
 const RESERVED_S: f64 = 0.5;
 /// Changes count as short for this long after they stopped the cycles.
 const SHORT_HOLDS: Millis = Millis(1_000);
+/// Work of the lowest rank begins by then, if a machine is empty.
+const BEGINS_BY: Millis = Millis(30_000);
 /// The fleet is looked over again after this long.
 const POOL_HOLDS: Millis = Millis(200);
 
@@ -170,17 +172,31 @@
             let machines = self.machines.values().filter(|m| usable(m));
             machines.map(|m| m.host.clone()).collect()
         };
-        let own = fit(&|m| self.ours(m));
-        let others = fit(&|m| self.others(m));
+        let own: Vec<HostId> = fit(&|m| self.ours(m));
+        let others: Vec<HostId> = fit(&|m| self.others(m));
         let (built, stale) = (self.now, false);
+        let empty = |host: &&HostId| !self.jobs.busy(host);
+        let all = || own.iter().chain(&others);
+        let ready: u32 = self.headroom().iter().map(|h| h.machines).sum();
+        let spare = all().filter(empty).count() > ready as usize;
         self.pool = Pool {
             built,
             stale,
+            spare,
             own,
             others,
         };
     }
 
+    /// Work of the lowest rank filled the machines that stood ready for urgent work, which then had
+    /// to wait for it to save: it takes an empty machine only while there are more than that needs, or
+    /// to begin at all.
+    fn keeps_off_empty(&self, job: &Job) -> bool {
+        job.spec.rank == Rank::BestEffort
+            && !self.pool.spare
+            && (job.placed > 0 || self.now.since(job.born) < BEGINS_BY)
+    }
+
     fn candidates<'a>(
         &'a self,
         job: &'a Job,
@@ -221,7 +237,8 @@
             let Some(job) = self.jobs.get(id) else {
                 return Err(BTreeSet::new());
             };
-            let asking = Asking::new(job, self.full_blocks(job, raise));
+            let mut asking = Asking::new(job, self.full_blocks(job, raise));
+            asking.keeps_off_empty = self.keeps_off_empty(job);
             let host = cycle::choose(&asking, self.candidates(job, scope, zone))?;
             let usable = |m: &Machine| self.ours(m) || self.others(m);
             if self.machines.get(&host).is_some_and(usable) {
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -641,3 +641,47 @@
         self.reconsider_all();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use serde_json::json;
+
+    use super::*;
+    use crate::controller::committing::tests::controller;
+    use crate::jobs::api::{parse, tests::body};
+    use crate::jobs::{Placement, Task};
+    use crate::types::{Baton, Session};
+
+    /// A machine came back at once and said so in its answer to direct orders. Its last answered
+    /// report was of the session before, so its lease was taken for over while its tasks ran, and
+    /// they were started elsewhere.
+    #[test]
+    fn a_session_that_a_direct_answer_shows_has_its_whole_lease() {
+        let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+        (spec.shape, spec.tasks) = (Shape::Array, 1);
+        let here = Task::Placed(Placement {
+            host: "vm-a".into(),
+            block: BlockId::parse("a.0").unwrap(),
+            session: Session(2),
+            attempt: Attempt(1),
+        });
+        let (mut controller, id) = controller(spec, vec![here]);
+        let lease = Millis::from_secs(controller.settings.deployment.workers.lease_s);
+        let host = HostId::from("vm-a");
+        let machine = controller.machines.get_mut(&host).unwrap();
+        machine.baton = Baton::of(Token(5));
+        machine.answered = Some((Token(5), Millis(1_000)));
+        let report = json!({"host": "vm-a", "address": "", "rig": "g8", "yard": "a",
+            "loaners": false, "shift": 2, "tally": 9, "baton": Baton::of(Token(5)),
+            "picks": [{"pick": format!("{id}/0"), "try": 1, "stage": "running"}]});
+        controller.now = lease;
+        let report = Some(serde_json::from_value(report).unwrap());
+        controller.on_direct(&host, Some(DirectAnswer { report }));
+        let released = |c: &Controller| !c.jobs.get(&id).unwrap().changes.is_empty();
+        for (after_s, gone) in [(5.0, false), (40.0, true)] {
+            controller.now = lease + Millis::from_secs(after_s);
+            controller.notice_silence();
+            assert_eq!(released(&controller), gone, "{after_s} s after");
+        }
+    }
+}
--- a/src/cycle.rs
+++ b/src/cycle.rs
@@ -46,13 +46,20 @@
     zones: BTreeMap<Zone, u32>,
     /// Blocks where the team's share is used up.
     full: Vec<BlockId>,
+    /// Empty machines are not for it: no more stand ready than urgent work needs.
+    pub keeps_off_empty: bool,
 }
 
 impl<'a> Asking<'a> {
     pub fn new(job: &'a Job, full: Vec<BlockId>) -> Self {
         let tied = job.spec.one_zone || job.spec.spread;
         let zones = if tied { job.zones() } else { BTreeMap::new() };
-        Self { job, zones, full }
+        Self {
+            job,
+            zones,
+            full,
+            keeps_off_empty: false,
+        }
     }
 
     /// Whether the machine's zone and block are open to the job.
@@ -87,6 +94,9 @@
     if asking.full.contains(&machine.block) {
         return Some(Check::Share);
     }
+    if asking.keeps_off_empty && candidate.free == candidate.whole {
+        return Some(Check::Room);
+    }
     None
 }
 
@@ -190,6 +200,40 @@
         }
     }
 
+    /// Guests' arrays of the lowest rank filled every machine that stood ready: gangs waited for them to
+    /// save (started in 30 s 0.87, then 0.97).
+    #[test]
+    fn who_keeps_off_empty_machines_finds_room_beside_others() {
+        let (jobs, id) = crate::jobs::cache::tests::jobs(1, &[]);
+        let job = jobs.get(&id).unwrap();
+        let block = BlockId::parse("a.0").unwrap();
+        let (host, rig, zone) = ("vm-1".into(), "g8".into(), "a".into());
+        let machine = &Machine::new(host, rig, zone, false, block, "n0".into());
+        for (keeps_off, taken, rejected) in [
+            (false, 0.0, None),
+            (true, 0.0, Some(Check::Room)),
+            (true, 1.0, None),
+        ] {
+            let mut asking = Asking::new(job, Vec::new());
+            asking.keeps_off_empty = keeps_off;
+            let whole = room(64.0);
+            let candidate = Candidate {
+                machine,
+                whole,
+                free: whole.minus(room(taken)),
+                yielding: true,
+                image_s: 0.0,
+                fetch_s: 1.0,
+                firm: 0.0,
+            };
+            assert_eq!(
+                filter(&asking, &candidate),
+                rejected,
+                "{keeps_off}, {taken}"
+            );
+        }
+    }
+
     /// Replicas filled machines four at a time, so where an image took a minute to fetch, all the
     /// machines that had it were full of work that never gives way, and each new replica fetched.
     #[test]
--- a/src/jobs/cache.rs
+++ b/src/jobs/cache.rs
@@ -766,7 +766,7 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub(crate) mod tests {
     use super::*;
     use crate::jobs::api::{parse, tests::body};
     use crate::jobs::record::{encode_page, job_key, page_key};
@@ -781,7 +781,7 @@
         })
     }
 
-    fn jobs(tasks: u32, pages: &[(u32, Vec<Task>)]) -> (Jobs, JobId) {
+    pub(crate) fn jobs(tasks: u32, pages: &[(u32, Vec<Task>)]) -> (Jobs, JobId) {
         let (id, mut spec) = parse(body().to_string().as_bytes()).unwrap();
         (spec.tasks, spec.shape) = (tasks, Shape::Array);
         let record = JobRecord {
