Tasks of an array follow one onto its machine without another look at the pool

Cause: a cycle looks at every machine of the pool, and a guest's array has 25,000 tasks; the processor of the controllers was at its share for minutes. Change: as long as its score is no lower than it was, the machine that was chosen is the one that the next cycle would choose, so the next tasks go there.

--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -46,6 +46,8 @@
 const SHORT_HOLDS: Millis = Millis(1_000);
 /// Work of the lowest rank begins by then, if a machine is empty.
 const BEGINS_BY: Millis = Millis(30_000);
+/// Tasks that follow one onto its machine in one go.
+const MOST_FILLED: usize = 64;
 /// The fleet is looked over again after this long.
 const POOL_HOLDS: Millis = Millis(200);
 
@@ -208,20 +210,23 @@
         own.chain(others)
             .filter_map(|host| self.machines.get(host))
             .filter(move |m| zone.is_none_or(|zone| m.zone == *zone))
-            .map(move |machine| {
-                let (whole, on_it) = (self.whole(machine), self.jobs.host_use(&machine.host));
-                let rate = fetch_rate(&self.flavors, &machine.rig);
-                let (image, gb) = (&job.spec.image, job.spec.image_gb);
-                Candidate {
-                    machine,
-                    whole,
-                    free: self.free_for(machine, &job.id),
-                    yielding: on_it.yielding(),
-                    image_s: machine.image_s(image, gb, rate, self.now),
-                    fetch_s: gb / rate,
-                    firm: on_it.taken.minus(on_it.soft).share_of(whole),
-                }
-            })
+            .map(move |machine| self.candidate(job, machine))
+    }
+
+    /// A machine as a cycle for the job sees it.
+    fn candidate<'a>(&self, job: &Job, machine: &'a Machine) -> Candidate<'a> {
+        let (whole, on_it) = (self.whole(machine), self.jobs.host_use(&machine.host));
+        let rate = fetch_rate(&self.flavors, &machine.rig);
+        let (image, gb) = (&job.spec.image, job.spec.image_gb);
+        Candidate {
+            machine,
+            whole,
+            free: self.free_for(machine, &job.id),
+            yielding: on_it.yielding(),
+            image_s: machine.image_s(image, gb, rate, self.now),
+            fetch_s: gb / rate,
+            firm: on_it.taken.minus(on_it.soft).share_of(whole),
+        }
     }
 
     /// Filters and scores the machines for the next task of a job.
@@ -508,8 +513,13 @@
                 return Ok(());
             };
             let attempt = Attempt(tried.0 + 1);
-            let own = self.reserve(id, index, attempt, Scope::Own, None, None);
-            let Err(mut checks) = own else { return own };
+            let mut checks = match self.reserve(id, index, attempt, Scope::Own, None, None) {
+                Ok(host) => {
+                    self.fill(id, &host);
+                    return Ok(());
+                }
+                Err(checks) => checks,
+            };
             let limited = self
                 .jobs
                 .get(id)
@@ -526,7 +536,7 @@
                 return Err(checks);
             }
             let beyond = self.reserve(id, index, attempt, Scope::All, None, Some(1));
-            return beyond.map_err(|_| checks);
+            return beyond.map(|_| ()).map_err(|_| checks);
         }
         let attempt = Attempt(job.highest_attempt().0 + 1);
         // The leader sees the whole fleet, so a gang that no block has room for spans several.
@@ -565,6 +575,7 @@
             let all = (0..count).try_for_each(|i| {
                 let raise = raise.map(|count| count - i);
                 self.reserve(id, i, attempt, scope, zone.as_ref(), raise)
+                    .map(|_| ())
             });
             match all {
                 Ok(()) => return Ok(()),
@@ -632,10 +643,42 @@
         scope: Scope,
         zone: Option<&Zone>,
         raise: Option<u32>,
-    ) -> Result<(), BTreeSet<Check>> {
+    ) -> Result<HostId, BTreeSet<Check>> {
         let host = self.choose(id, scope, zone, raise)?;
-        self.reserve_at(id, index, attempt, host);
-        Ok(())
+        self.reserve_at(id, index, attempt, host.clone());
+        Ok(host)
+    }
+
+    /// Further tasks of an array go to the machine that was just chosen for one, as long as cycles
+    /// of their own would choose it again: its score is no lower than it was, and no other machine's
+    /// has changed. A cycle looks at the whole pool, and an array may have 25,000 tasks.
+    fn fill(&mut self, id: &JobId, host: &HostId) {
+        for _ in 0..MOST_FILLED {
+            let Some(job) = self.jobs.get(id) else { return };
+            let spec = &job.spec;
+            if spec.shape != Shape::Array || spec.one_zone || spec.spread {
+                return;
+            }
+            let keeps = |team: &TeamSettings| {
+                quota::within(self.jobs.usage(&team.name).plus(spec.room), team)
+            };
+            let next = job.next_waiting(1).first().copied();
+            let (Some((index, tried)), Some(machine)) = (next, self.machines.get(host)) else {
+                return;
+            };
+            let asking = Asking::new(job, self.full_blocks(job, None));
+            let mut candidate = self.candidate(job, machine);
+            let failed = machine.failed.contains_key(id);
+            if !self.limits(job).iter().all(keeps) || cycle::filter(&asking, &candidate).is_some() {
+                return;
+            }
+            let now = cycle::score(spec, &candidate, failed);
+            candidate.free = candidate.free.plus(spec.room);
+            if now < cycle::score(spec, &candidate, failed) {
+                return;
+            }
+            self.reserve_at(id, index, Attempt(tried.0 + 1), host.clone());
+        }
     }
 
     fn reserve_at(&mut self, id: &JobId, index: u32, attempt: Attempt, host: HostId) {
