--- a/crates/region/tests/cluster/main.rs
+++ b/crates/region/tests/cluster/main.rs
@@ -241,7 +241,9 @@
         world.abort_at(at + (seed % 7) * 500, index);
     }
     (day.plan)(&mut world);
-    world.run_until(240_000);
+    // The last trouble of any day is over by then.
+    world.rules.calm = Millis(200_000);
+    world.run_until(300_000);
     world
 }
 
@@ -261,6 +263,13 @@
                 "{name}: {:?}",
                 world.unfinished()
             );
+            assert!(
+                world.unaccounted().is_empty(),
+                "{name}: {:?}",
+                world.unaccounted()
+            );
+            let unheard = world.rules.unheard();
+            assert!(unheard.is_empty(), "{name}: {unheard:?}");
             assert!(
                 world.rules.starts > 20,
                 "{name}: only {} starts",
