Jobs with many noted changes are looked over at most every 0.4 s

Cause, by profile of a region with an array of 25,000 tasks: each report and each tick went through all noted changes of the array. Change: such a job is looked over every 0.4 s, and its next tasks are found once for a machine.

--- a/src/controller/committing.rs
+++ b/src/controller/committing.rs
@@ -44,7 +44,8 @@
     /// Has a job's noted changes written when it is their turn.
     pub(super) fn commit(&mut self, id: &JobId) {
         let Some(job) = self.jobs.get(id) else { return };
-        if job.writing != Writing::Idle || job.changes.is_empty() {
+        if job.writing != Writing::Idle || job.changes.is_empty() || self.ends.waits(job, self.now)
+        {
             return;
         }
         let ends = job.changes.values().all(Change::finishes);
@@ -117,7 +118,9 @@
             jobs.get(id)
                 .is_some_and(|job| job.writing == Writing::Idle && !job.changes.is_empty())
         };
-        for id in self.ends.pending(waits) {
+        let mut due = self.ends.pending(waits);
+        due.extend(self.ends.due(self.now));
+        for id in due {
             self.commit(&id);
         }
         for (to, left) in self.ends.take() {
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -653,7 +653,8 @@
     /// of their own would choose it again: its score is no lower than it was, and no other machine's
     /// has changed. A cycle looks at the whole pool, and an array may have 25,000 tasks.
     fn fill(&mut self, id: &JobId, host: &HostId) {
-        for _ in 0..MOST_FILLED {
+        let waiting = self.jobs.get(id).map(|job| job.next_waiting(MOST_FILLED));
+        for (index, tried) in waiting.unwrap_or_default() {
             let Some(job) = self.jobs.get(id) else { return };
             let spec = &job.spec;
             if spec.shape != Shape::Array || spec.one_zone || spec.spread {
@@ -662,8 +663,7 @@
             let keeps = |team: &TeamSettings| {
                 quota::within(self.jobs.usage(&team.name).plus(spec.room), team)
             };
-            let next = job.next_waiting(1).first().copied();
-            let (Some((index, tried)), Some(machine)) = (next, self.machines.get(host)) else {
+            let Some(machine) = self.machines.get(host) else {
                 return;
             };
             let asking = Asking::new(job, self.full_blocks(job, None));
--- a/src/jobs/ends.rs
+++ b/src/jobs/ends.rs
@@ -18,8 +18,15 @@
 /// A message of this many fits a frame by far.
 const MOST: usize = 2_000;
 
+/// A job with more noted changes than this is looked over only so often: each look goes through all
+/// of them, and an array of 25,000 tasks has some in every report.
+const MANY: usize = 100;
+const LOOK_EVERY: Millis = Millis(400);
+
 #[derive(Debug, Default)]
 pub struct Ends {
+    /// Jobs with many changes, when they were looked over last, and whether there is more since.
+    looked: HashMap<JobId, (Millis, bool)>,
     told: HashMap<JobId, BTreeMap<u32, (Attempt, Millis)>>,
     outbox: BTreeMap<NodeId, Vec<Left>>,
 }
@@ -49,6 +56,33 @@
 }
 
 impl Ends {
+    /// Whether a look at the job's changes can wait; it comes up again in `due`.
+    pub fn waits(&mut self, job: &Job, now: Millis) -> bool {
+        if job.changes.len() <= MANY {
+            return false;
+        }
+        let (last, more) = self.looked.entry(job.id.clone()).or_default();
+        let waits = *last > Millis(0) && now.since(*last) < LOOK_EVERY;
+        if !waits {
+            *last = now;
+        }
+        *more = waits;
+        waits
+    }
+
+    /// Jobs whose look has waited long enough.
+    pub fn due(&mut self, now: Millis) -> Vec<JobId> {
+        let mut due = Vec::new();
+        self.looked.retain(|job, (last, more)| {
+            let over = now.since(*last) >= LOOK_EVERY;
+            if over && *more {
+                due.push(job.clone());
+            }
+            !over
+        });
+        due
+    }
+
     /// Tells `home` of all that is noted of a job. False if not all of it can be written there;
     /// then nothing is told.
     pub fn tell(
