--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -813,3 +813,35 @@
         self.note_changes(changes);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::controller::committing::tests::controller;
+    use crate::jobs::api::{parse, tests::body};
+    use crate::jobs::{Placement, Task};
+    use crate::types::{Attempt, BlockId, Session};
+
+    /// A holder that had not heard of a deletion placed a task on the machine after it: the task was
+    /// on no machine, and in the records for ever.
+    #[test]
+    fn what_is_placed_on_a_deleted_machine_is_released_whenever_it_was_placed() {
+        let here = Task::Placed(Placement {
+            host: "vm-a".into(),
+            block: BlockId::parse("a.0").unwrap(),
+            session: Session(1),
+            attempt: Attempt(1),
+        });
+        for (gone, released) in [(false, false), (true, true)] {
+            let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+            (spec.shape, spec.tasks) = (Shape::Array, 1);
+            let (mut controller, id) = controller(spec, vec![here.clone()]);
+            if gone {
+                controller.fleet.gone.insert("vm-a".into());
+            }
+            controller.leave_the_gone();
+            let job = controller.jobs.get(&id).unwrap();
+            assert_eq!(!job.changes.is_empty(), released, "deleted: {gone}");
+        }
+    }
+}
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -684,4 +684,31 @@
             assert_eq!(released(&controller), gone, "{after_s} s after");
         }
     }
+
+    /// A copy of a report came after its machine was deleted. It was taken for the machine, tasks were
+    /// placed there, and nobody ever saw them leave.
+    #[test]
+    fn a_machine_that_is_met_by_a_report_gets_work_once_it_has_answered() {
+        let (_, spec) = parse(body().to_string().as_bytes()).unwrap();
+        let (mut controller, _) = controller(spec, vec![Task::FRESH]);
+        controller.now = Millis(20_000);
+        let report = |tally| {
+            let report = json!({"host": "vm-2", "address": "10.0.0.9:1", "rig": "g8", "yard": "a",
+                "loaners": false, "shift": 1, "tally": tally, "baton": Baton::of(Token(5)),
+                "picks": []});
+            serde_json::from_value::<Report>(report).unwrap()
+        };
+        let host = HostId::from("vm-2");
+        let fit = |c: &Controller| c.ours(&c.machines[&host]);
+        for tally in [4, 5] {
+            controller.effects.clear();
+            controller.answer_report(report(tally));
+            assert!(!fit(&controller), "after report {tally}");
+        }
+        let asked = |c: &Controller| c.machines[&host].direct.busy;
+        assert!(asked(&controller), "it is asked");
+        let answer = Some(report(6));
+        controller.on_direct(&host, Some(DirectAnswer { report: answer }));
+        assert!(fit(&controller), "it answered");
+    }
 }
