--- a/crates/region/tests/troubles.rs
+++ b/crates/region/tests/troubles.rs
@@ -309,3 +309,34 @@
         finish(&mut world, &format!("seed {seed}"));
     }
 }
+
+/// A controller that keeps its workers and loses all else answers them until somebody else holds their
+/// block; then they come over with their tasks. Kept on with a lower token, they killed them at the end
+/// of their lease.
+#[test]
+fn machines_change_hands_without_a_kill() {
+    let mut seen = 0;
+    for seed in 1..=12 {
+        for node in [0, 1] {
+            let mut world = world(seed);
+            world.cuts.push(alone(node, 20, 60, seed % 2 == 0));
+            world.run_until(20_000);
+            let at_work: Vec<_> = world
+                .machines
+                .hosts
+                .iter()
+                .filter(|(_, m)| m.dead.is_none() && m.node == node)
+                .filter(|(_, m)| m.tasks.values().any(|task| task.on_machine()))
+                .map(|(host, m)| (host.clone(), m.session))
+                .collect();
+            seen += at_work.len();
+            world.run_until(79_000);
+            for (host, session) in at_work {
+                let now = world.machines.hosts[&host].session;
+                assert_eq!(now, session, "{host} of {node} (seed {seed})");
+            }
+            assert_eq!(world.cloud.deleted_at_work, 0, "{node} (seed {seed})");
+        }
+    }
+    assert!(seen > 10, "only {seen} machines show it");
+}
