--- a/src/controller/trying.rs
+++ b/src/controller/trying.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::{Controller, Effect};
+use crate::jobs::Shape;
 use crate::jobs::cache::{Change, Job};
 use crate::jobs::trials::Trials;
 use crate::peers::Message;
@@ -77,7 +78,9 @@
             return false;
         };
         let placing = |change: &Change| matches!(change, Change::Place(_));
-        if job.placed > 0 || job.changes.values().any(placing) {
+        // Of a service each replica is one try by itself: those that run are not waited for.
+        let service = job.spec.shape == Shape::Service;
+        if !service && (job.placed > 0 || job.changes.values().any(placing)) {
             // Its next end brings it back.
             self.queue.remove(id);
             return true;
--- a/src/jobs/trials.rs
+++ b/src/jobs/trials.rs
@@ -19,6 +19,9 @@
 /// The first wait of a suspect job, and the longest.
 const FIRST: Millis = Millis(2_000);
 const MOST: Millis = Millis(45_000);
+/// What failed longer ago says nothing: a service runs for days, and meets a faulty machine now and
+/// then.
+const FORGET: Millis = Millis(300_000);
 /// Machines that are remembered of a job.
 const MOST_HOSTS: usize = 8;
 
@@ -28,6 +31,7 @@
     suspect: bool,
     waits: u32,
     not_before: Millis,
+    last: Millis,
 }
 
 #[derive(Debug, Default)]
@@ -39,6 +43,10 @@
     /// A task of the job failed on a machine. True if the job is suspect since this failure.
     pub fn failed(&mut self, job: &JobId, shape: Shape, host: &HostId, now: Millis) -> bool {
         let trial = self.jobs.entry(job.clone()).or_default();
+        if now.since(trial.last) > FORGET {
+            *trial = Trial::default();
+        }
+        trial.last = now;
         if trial.failed_on.len() < MOST_HOSTS {
             trial.failed_on.insert(host.clone());
         }
@@ -125,6 +133,13 @@
             trials.sick(&hosts[sick], Millis(20));
             assert_eq!(trials.suspect(&job), suspect, "{sick} is sick");
         }
+        // A service meets a faulty machine every ten minutes.
+        let mut trials = Trials::default();
+        for (round, host) in hosts.iter().enumerate() {
+            let at = Millis(5 + 600_000 * round as u64);
+            trials.failed(&job, Shape::Service, host, at);
+        }
+        assert!(!trials.suspect(&job));
         let mut trials = Trials::default();
         let mut now = Millis(1_000);
         let mut waits = Vec::new();
