--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -194,14 +194,12 @@
                 me.clone(),
             )
         });
+        // Whatever its age, the worker's lease may be renewed by this answer.
+        let answered = machine.answered.replace((token, now));
         if !machine.newer(report.shift, report.tally) {
-            // Whatever its age, the worker's lease may be renewed by this answer.
-            machine.answered = Some((token, now));
             return none;
         }
         let was_fit = machine.fit(now, silence) && machine.baton.token() >= token;
-        let answered = machine.answered;
-        machine.answered = Some((token, now));
         let said = Said {
             session: report.shift,
             unexpected: now.since(machine.heard) > silence,
--- a/src/workers/reconcile.rs
+++ b/src/workers/reconcile.rs
@@ -202,9 +202,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::jobs::Shape;
     use crate::jobs::api::{parse, tests::body};
     use crate::jobs::record::{JobRecord, encode_page, job_key, page_key};
+    use crate::jobs::{Shape, Spec};
     use crate::types::{Baton, BlockId, Millis, Revision, Session};
     use crate::workers::Seen;
 
@@ -289,6 +289,23 @@
         }
     }
 
+    /// The records of a job of one task, which is placed.
+    fn one_placed(id: &JobId, spec: Spec, placement: Placement) -> Jobs {
+        let record = JobRecord {
+            phase: Phase::Active,
+            home: "n0".into(),
+            tasks: 1,
+            page: 8,
+            spec: Some(spec),
+        };
+        let mut jobs = Jobs::default();
+        let record = serde_json::to_string(&record).unwrap();
+        jobs.feed(&job_key(id), Some(&record), Revision(5), Millis(1));
+        let page = encode_page(&[Task::Placed(placement)]);
+        jobs.feed(&page_key(id, 0), Some(&page), Revision(6), Millis(1));
+        jobs
+    }
+
     /// A machine came back at once with its counters begun anew, and its block changed hands: its new
     /// holder found tasks of a session that the machine had not reached yet, and waited for ever.
     #[test]
@@ -310,18 +327,7 @@
                 session: Session(placed),
                 attempt: Attempt(1),
             };
-            let record = JobRecord {
-                phase: Phase::Active,
-                home: "n0".into(),
-                tasks: 1,
-                page: 8,
-                spec: Some(spec),
-            };
-            let mut jobs = Jobs::default();
-            let record = serde_json::to_string(&record).unwrap();
-            jobs.feed(&job_key(&id), Some(&record), Revision(5), Millis(1));
-            let page = encode_page(&[Task::Placed(placement)]);
-            jobs.feed(&page_key(&id, 0), Some(&page), Revision(6), Millis(1));
+            let jobs = one_placed(&id, spec, placement);
             let (host, rig, zone) = ("vm-1".into(), "g8".into(), "a".into());
             let mut machine = Machine::new(host, rig, zone, false, block, "n0".into());
             (machine.session, machine.baton) = (Session(now), Baton::of(Token(4)));
@@ -350,18 +356,7 @@
             session: Session(1),
             attempt: Attempt(1),
         };
-        let record = JobRecord {
-            phase: Phase::Active,
-            home: "n0".into(),
-            tasks: 1,
-            page: 8,
-            spec: Some(spec),
-        };
-        let mut jobs = Jobs::default();
-        let record = serde_json::to_string(&record).unwrap();
-        jobs.feed(&job_key(&id), Some(&record), Revision(5), Millis(1));
-        let page = encode_page(&[Task::Placed(placement)]);
-        jobs.feed(&page_key(&id, 0), Some(&page), Revision(6), Millis(1));
+        let jobs = one_placed(&id, spec, placement);
         let task = TaskId { job: id, index: 0 };
         let attempt = Attempt(1);
         let stops = Stops::from_iter([(
