A worker's silence counts from when it was known to have seen our token

Cause, found by reading: a new holder took a worker's lease for over by the clock of its own last answer, also when that answer was lost and the worker went on being renewed by the holder before until it was shown the new token directly. From the moment at which a worker is first known to have seen a token, and not before, nobody else can renew it; the clock starts there, and again where a direct answer shows a session that was not known. Excluded: odd tokens (never under even evidence), late copies (sent after the token was seen).

--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -209,6 +209,7 @@
         };
         machine.hearing.reported(said, lease, now);
         machine.take_in(&report, now, &me);
+        machine.note_aware(token, now);
         let ask = !machine.hearing.proved();
         let host = report.host.clone();
         if ask {
@@ -319,14 +320,13 @@
         {
             let was_fit = machine.fit(now, silence) && machine.baton.token() >= token;
             machine.hearing.prove();
-            if report.shift != machine.session
-                && let Some((_, at)) = &mut machine.answered
-            {
+            if report.shift != machine.session {
                 // The lease of a session that we did not know of runs from when it began, not from
                 // when we answered a report last.
-                *at = now;
+                machine.aware = None;
             }
             machine.take_in(&report, now, &me);
+            machine.note_aware(token, now);
             if machine.baton.token() == token {
                 machine.direct.enter(token, report.shift);
                 if machine.fit(now, silence) && !was_fit {
@@ -573,15 +573,8 @@
             let Some(token) = self.token_for(&machine.block) else {
                 continue;
             };
-            // Only a worker that we alone answered, under the token we still hold: another
-            // controller's answers would have renewed its lease unseen.
-            // While we keep machines alive anybody may.
-            let over = machine
-                .answered
-                .is_some_and(|(under, at)| under == token && self.now.since(at) > lease)
-                && machine.baton.token() >= token
-                && !self.keeping.on();
-            if !over {
+            // While we keep machines alive anybody may renew their leases.
+            if self.keeping.on() || !machine.lease_over(token, lease, self.now) {
                 continue;
             }
             for (id, index) in self.jobs.on_host(&machine.host) {
@@ -683,6 +676,70 @@
         }
     }
 
+    /// A new holder's answer to a report was lost, so the worker went on with the holder before, and
+    /// was renewed there until it was shown the new token directly. Then it fell silent. Its lease was
+    /// taken for over by the answer that it had never heard, while its tasks ran for ten seconds more.
+    #[test]
+    fn silence_counts_from_when_the_worker_was_known_to_have_seen_our_token() {
+        type Heard = Option<u64>;
+        let cases: [(Heard, u64, Heard, f64, bool); 5] = [
+            // report that we answered, the worker showed our token, next answered report; s after
+            // its showing; gone
+            (Some(1), 16, None, 20.0, false),
+            (Some(1), 16, None, 40.0, true),
+            (Some(15), 16, Some(30), 36.0, false),
+            (Some(15), 16, Some(30), 60.0, true),
+            (None, 16, None, 40.0, true),
+        ];
+        for (before, shown, after, then_s, gone) in cases {
+            let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+            (spec.shape, spec.tasks) = (Shape::Array, 1);
+            let here = Task::Placed(Placement {
+                host: "vm-2".into(),
+                block: BlockId::parse("a.0").unwrap(),
+                session: Session(1),
+                attempt: Attempt(1),
+            });
+            let (mut controller, id) = controller(spec, vec![here]);
+            let lease_s = controller.settings.deployment.workers.lease_s;
+            assert!(
+                (21.0..27.0).contains(&lease_s),
+                "the cases are for {lease_s}"
+            );
+            let (host, rig, zone) = (HostId::from("vm-2"), "g8".into(), "a".into());
+            let block = BlockId::parse("a.0").unwrap();
+            let machine = Machine::new(host.clone(), rig, zone, false, block, "n0".into());
+            controller.machines.insert(host.clone(), machine);
+            let report = |tally: u64, seen: Token| {
+                let report = json!({"host": "vm-2", "address": "10.0.0.9:1", "rig": "g8", "yard": "a",
+                    "loaners": false, "shift": 1, "tally": tally, "baton": Baton::of(seen),
+                    "picks": [{"pick": format!("{id}/0"), "try": 1, "stage": "running"}]});
+                serde_json::from_value::<Report>(report).unwrap()
+            };
+            if let Some(before) = before {
+                controller.now = Millis(before * 1_000);
+                controller.answer_report(report(1, Token(4)));
+            }
+            controller.now = Millis(shown * 1_000);
+            let report_of_answer = Some(report(2, Token(5)));
+            let answer = DirectAnswer {
+                report: report_of_answer,
+            };
+            controller.on_direct(&host, Some(answer));
+            if let Some(after) = after {
+                controller.now = Millis(after * 1_000);
+                controller.answer_report(report(3, Token(5)));
+            }
+            controller.now = Millis(shown * 1_000) + Millis::from_secs(then_s);
+            controller.notice_silence();
+            let released = !controller.jobs.get(&id).unwrap().changes.is_empty();
+            assert_eq!(
+                released, gone,
+                "{before:?}, {shown}, {after:?}, {then_s} s later"
+            );
+        }
+    }
+
     /// A copy of a report came after its machine was deleted. It was taken for the machine, tasks were
     /// placed there, and nobody ever saw them leave.
     #[test]
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -47,6 +47,9 @@
     pub baton: Baton,
     /// When the last report was received that we answered under a token of ours, and that token.
     pub answered: Option<(Token, Millis)>,
+    /// The token of ours that the worker was first known to have seen, and since when. Until then an
+    /// earlier holder's answers may have renewed its lease.
+    pub aware: Option<(Token, Millis)>,
     /// When anybody last heard from the worker, and could take that for a sign of life.
     pub heard: Millis,
     pub hearing: Hearing,
@@ -146,6 +149,7 @@
             tally: 0,
             baton: Baton(0),
             answered: None,
+            aware: None,
             heard: Millis(0),
             hearing: Hearing::default(),
             heard_by: by,
@@ -195,6 +199,25 @@
             .collect();
     }
 
+    /// The worker has seen our token, by what it just said.
+    pub fn note_aware(&mut self, token: Token, now: Millis) {
+        if self.baton.token() >= token && self.aware.is_none_or(|(seen, _)| seen != token) {
+            self.aware = Some((token, now));
+        }
+    }
+
+    /// Whether the worker's lease is over by our clock: nobody's answer has renewed it for so long.
+    /// From when it saw our token it dropped all others' answers, and before that nobody can tell
+    /// when it was answered last.
+    pub fn lease_over(&self, token: Token, lease: Millis, now: Millis) -> bool {
+        let since = |at: &Option<(Token, Millis)>| at.filter(|(under, _)| *under == token);
+        let Some((_, aware)) = since(&self.aware) else {
+            return false;
+        };
+        let renewed = since(&self.answered).map_or(aware, |(_, answered)| answered.max(aware));
+        now.since(renewed) > lease
+    }
+
     /// Whether a report shows any of the starts that rode on the answer to the last one; none: there
     /// were none, or the worker began anew since.
     pub fn obeyed(&self, report: &Report) -> Option<bool> {
