Deals and raises that are carried out late can't exceed a limit

Found by listing every transaction with its conditions. Three that could add to what others were dealt: a deal without an answer, followed by another deal (it is now ruled out first, by a change of a share it rests on); a leader's placement in another's block, which raises its share, carried out after its term (it now rests on the term); a placement without an answer whose block was taken from other noted changes of the job. The machine types' record rests on the leader's term too. Each with a test.

--- a/src/controller/committing.rs
+++ b/src/controller/committing.rs
@@ -198,7 +198,7 @@
         let mut pages: BTreeMap<u32, Vec<Task>> = BTreeMap::new();
         let mut changes = Vec::new();
         let mut stale = Vec::new();
-        let (mut placing, mut unplaced) = (false, false);
+        let (mut placing, mut unplaced, mut borrowed) = (false, false, false);
         // Zones of a job in many pages are agreed on through its first page.
         let tied = (job.spec.one_zone || job.spec.spread) && job.record.pages() > 1;
         for (index, change) in &job.changes {
@@ -255,6 +255,7 @@
             };
             if let Some((block, token)) = under {
                 txn.require(block_key(block), Revision(token.0));
+                borrowed |= places && self.leases.holds(block, &self.me).is_none();
             }
             placing |= places;
             let tasks = pages.entry(page).or_insert_with(|| job.page_tasks(page));
@@ -310,6 +311,11 @@
         if placing {
             self.require_tree(&mut txn);
         }
+        if let Some(lead) = self.leading().filter(|_| borrowed) {
+            // In blocks of others a leader places on what it knows of all: carried out after its term,
+            // it would add to what its successor has dealt out meanwhile.
+            txn.require(LEADER.into(), lead);
+        }
         for page in pages.keys() {
             txn.require(page_key(id, *page), job.page_version(*page));
         }
@@ -383,7 +389,7 @@
                 if let Some(job) = self.jobs.get_mut(&id) {
                     job.writing = Writing::Settling(None);
                 }
-                if self.void_later(&id) {
+                if self.void_later(&id, &changes) {
                     return;
                 }
                 self.once_fresh(After::Settle { job: id });
@@ -522,7 +528,15 @@
 
     /// A controller that holds block a.0 under token 5 and knows one machine there and one in b.0.
     pub fn controller(spec: Spec, tasks: Vec<Task>) -> (Controller, JobId) {
-        let settings = Settings::parse("f", &settings().to_string()).unwrap();
+        controller_with(&settings(), spec, tasks)
+    }
+
+    pub fn controller_with(
+        settings: &serde_json::Value,
+        spec: Spec,
+        tasks: Vec<Task>,
+    ) -> (Controller, JobId) {
+        let settings = Settings::parse("f", &settings.to_string()).unwrap();
         let mut controller = Controller::new(Arc::new(settings), 1);
         controller.synced = true;
         controller.leases.own = Own::Held {
--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -10,6 +10,7 @@
 use crate::fleet::{CloudAnswer, CloudCall, FLAVORS, Flavor, Fleet, Offer, Rented, Stage};
 use crate::jobs::cache::{Change, Evidence};
 use crate::jobs::{Rank, Shape, Spec};
+use crate::lease::LEADER;
 use crate::settings::Objective;
 use crate::store::{Class, Txn};
 use crate::types::{HostId, JobId, Millis, Room, Zone};
@@ -64,6 +65,8 @@
         self.flavors_asked = Millis(0);
         self.drains.clear();
         self.zones = Zones::default();
+        // Deals of an earlier term rest on it.
+        self.unsure_deals.clear();
     }
 
     fn call_cloud(&mut self, call: CloudCall) -> u64 {
@@ -745,8 +748,10 @@
 
     /// Notes the machine types in the state service when they are new there.
     fn keep_flavors(&mut self, flavors: &[Flavor]) {
-        if self.leading().is_some() && self.kept_flavors != flavors {
+        if let Some(lead) = self.leading().filter(|_| self.kept_flavors != flavors) {
             let mut txn = Txn::default();
+            // Carried out late, it would bring back what a later leader has replaced.
+            txn.require(LEADER.into(), lead);
             txn.put(FLAVORS.into(), flavors);
             self.transact(Class::Rest, txn, Purpose::Note);
         }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -180,7 +180,10 @@
     /// Pages of jobs that are over.
     Dropped,
     /// New shares of the teams' limits.
-    Deal,
+    Deal {
+        /// A block whose share it is conditioned on, and the version of that.
+        rests_on: (BlockId, Revision),
+    },
     /// The tree of quotas, page by page.
     Tree,
     /// Makes sure that a transaction of unknown fate is not applied from now on.
@@ -394,6 +397,9 @@
     gathered: HashMap<JobId, Millis>,
     /// Transactions under way that write shares.
     dealing: u32,
+    /// Deals without an answer that may still be carried out: a block of each, and the version of its
+    /// share that the deal rests on.
+    unsure_deals: Vec<(BlockId, Revision)>,
     dealt: Millis,
     voided: Millis,
     /// Jobs with a transaction of unknown fate that must come to nothing before its room is free.
@@ -497,6 +503,7 @@
             foremost: Vec::new(),
             gathered: HashMap::default(),
             dealing: 0,
+            unsure_deals: Vec::new(),
             dealt: Millis(0),
             voided: Millis(0),
             to_void: HashMap::default(),
@@ -646,7 +653,7 @@
             Purpose::Changes { job, changes } => self.on_changes(job, changes, answer),
             Purpose::Clear { job } => self.on_cleared(job),
             Purpose::Dropped => self.dropping = false,
-            Purpose::Deal => {}
+            Purpose::Deal { rests_on } => self.on_dealt(rests_on, answer),
             Purpose::Tree => self.on_tree(&answer),
             Purpose::Void { jobs, block } => self.on_void(jobs, block, answer),
             Purpose::Plan => self.shared.writing = false,
--- a/src/controller/sharing.rs
+++ b/src/controller/sharing.rs
@@ -56,6 +56,7 @@
     fn may_raise(&self) -> bool {
         self.leading().is_some()
             && self.dealing == 0
+            && self.unsure_deals.is_empty()
             && self.synced
             && self.applied >= self.list_end
             && self.applied >= self.shares.newest()
@@ -113,6 +114,10 @@
         let Some(lead) = self.leading().filter(|_| !records.is_empty()) else {
             return;
         };
+        let Some(first) = records.keys().next().cloned() else {
+            return;
+        };
+        let rests_on = (first.clone(), self.shares.version(&first));
         self.dealt = self.now;
         let mut txn = Txn::default();
         txn.require(crate::lease::LEADER.into(), lead);
@@ -125,7 +130,7 @@
             txn.require(share_key(&block), self.shares.version(&block));
             txn.put(share_key(&block), &record);
         }
-        self.transact(Class::Duties, txn, Purpose::Deal);
+        self.transact(Class::Duties, txn, Purpose::Deal { rests_on });
     }
 
     /// Adds to a placement's transaction what it rests on: the share of each block. Where the
@@ -168,23 +173,40 @@
 
     /// A transaction that placed tasks went unanswered and may be applied late. Its room is not
     /// free before a change of the share that it rests on rules that out.
-    pub(super) fn void_later(&mut self, id: &JobId) -> bool {
-        let block = self.jobs.get(id).and_then(|job| {
-            if self.limits(job).is_empty() {
-                return None;
-            }
-            job.changes.values().find_map(|change| match change {
-                Change::Place(placement) => Some(placement.block.clone()),
-                _ => None,
-            })
+    /// `changes` are those of the transaction: others of the job may have been noted since, in blocks
+    /// that it does not rest on.
+    pub(super) fn void_later(&mut self, id: &JobId, changes: &[(u32, Change)]) -> bool {
+        let job = self.jobs.get(id);
+        let limited = job.is_some_and(|job| !self.limits(job).is_empty());
+        let block = changes.iter().find_map(|(_, change)| match change {
+            Change::Place(placement) => Some(placement.block.clone()),
+            _ => None,
         });
-        let Some(block) = block else { return false };
+        let Some(block) = block.filter(|_| limited) else {
+            return false;
+        };
         self.to_void.insert(id.clone(), block);
         true
     }
 
+    /// A deal went unanswered and may be carried out late, after others that were reckoned without
+    /// it. Nothing is dealt or raised before a change of a share that it rests on rules that out.
+    pub(super) fn on_dealt(&mut self, rests_on: (BlockId, Revision), answer: Answer) {
+        if matches!(answer, Answer::Unknown) {
+            self.unsure_deals.push(rests_on);
+        }
+    }
+
+    fn forget_sure_deals(&mut self) {
+        let shares = &self.shares;
+        self.unsure_deals
+            .retain(|(block, version)| shares.version(block) <= *version);
+    }
+
     pub(super) fn void_unknown(&mut self) {
-        if self.to_void.is_empty() || self.now.since(self.voided) < VOID_EVERY {
+        self.forget_sure_deals();
+        let none = self.to_void.is_empty() && self.unsure_deals.is_empty();
+        if none || self.now.since(self.voided) < VOID_EVERY {
             return;
         }
         self.voided = self.now;
@@ -192,6 +214,11 @@
         for (job, block) in std::mem::take(&mut self.to_void) {
             blocks.entry(block).or_default().push(job);
         }
+        if self.dealing == 0 {
+            for (block, _) in &self.unsure_deals {
+                blocks.entry(block.clone()).or_default();
+            }
+        }
         for (block, jobs) in blocks {
             let mut txn = Txn::default();
             let record = self.shares.record(&block);
@@ -224,3 +251,140 @@
         self.proved();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::controller::Effect;
+    use crate::controller::committing::tests::controller_with;
+    use crate::jobs::api::{parse, tests::body};
+    use crate::jobs::{Placement, Shape, Task};
+    use crate::lease::LEADER;
+    use crate::settings::tests::settings;
+    use crate::store::{Call, Change as Write};
+    use crate::types::{Attempt, Session, Token};
+
+    fn leading(tasks: Vec<Task>) -> (Controller, JobId) {
+        let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+        (spec.shape, spec.tasks) = (Shape::Array, tasks.len() as u32);
+        (spec.one_zone, spec.spread) = (false, false);
+        let mut settings = settings();
+        settings["deployment"]["teams"] = serde_json::json!([{"name": spec.team.to_string(),
+            "cpus": 0.0, "cpus_max": 0.0, "gpus": 8.0, "gpus_max": 64.0}]);
+        let (mut controller, id) = controller_with(&settings, spec, tasks);
+        let lead = r#"{"leader":"n0","permit":1}"#;
+        controller.feed(LEADER, Some(lead), Revision(9));
+        controller.applied = Revision(50);
+        controller.effects.clear();
+        (controller, id)
+    }
+
+    fn placement(host: &str, block: &str) -> Placement {
+        Placement {
+            host: host.into(),
+            block: BlockId::parse(block).unwrap(),
+            session: Session(1),
+            attempt: Attempt(1),
+        }
+    }
+
+    /// The keys that the transactions rewrite which the controller has sent since.
+    fn written(controller: &Controller) -> Vec<String> {
+        let mut keys = Vec::new();
+        for effect in &controller.effects {
+            if let Effect::Store {
+                call: Call::Txn(txn),
+                ..
+            } = effect
+            {
+                let puts = txn.changes.iter().filter_map(|change| match change {
+                    Write::Put { key, .. } => Some(key.clone()),
+                    Write::Drop { .. } => None,
+                });
+                keys.extend(puts);
+            }
+        }
+        keys
+    }
+
+    /// A deal got no answer, the next one gave the same room to another block, and the first was
+    /// carried out after it: both blocks could use it.
+    #[test]
+    fn a_deal_without_an_answer_is_ruled_out_before_the_next() {
+        let block = BlockId::parse("a.0").unwrap();
+        let cases = [
+            (Answer::Committed(Revision(30)), false),
+            (Answer::Conflict(Revision(30)), false),
+            (Answer::Refused, false),
+            (Answer::Unknown, true),
+        ];
+        for (answer, unsure) in cases {
+            let (mut controller, _) = leading(vec![Task::FRESH]);
+            let rests_on = (block.clone(), controller.shares.version(&block));
+            assert!(controller.may_raise());
+            let name = format!("{answer:?}");
+            controller.on_dealt(rests_on, answer);
+            assert_eq!(controller.may_raise(), !unsure, "{name}");
+            controller.now = Millis(9_000);
+            controller.void_unknown();
+            let rewritten = written(&controller).contains(&share_key(&block));
+            assert_eq!(rewritten, unsure, "{name}");
+            controller.dealing = 0;
+            // The watch shows that the share has changed: the deal was carried out before, or never is.
+            controller.feed(&share_key(&block), Some("{}"), Revision(31));
+            controller.void_unknown();
+            assert!(controller.may_raise(), "{name}");
+        }
+    }
+
+    /// While a placement was under way another task of the job was reserved in another block. The
+    /// placement got no answer, the other block's share was rewritten, and it could still be carried out
+    /// after its room had been given away.
+    #[test]
+    fn a_placement_without_an_answer_is_ruled_out_by_its_own_block() {
+        let (mut controller, id) = leading(vec![Task::FRESH, Task::FRESH]);
+        let limited = !controller
+            .limits(controller.jobs.get(&id).unwrap())
+            .is_empty();
+        assert!(limited, "the job's team has a limit");
+        let sent = Change::Place(placement("vm-b", "b.0"));
+        controller.jobs.want(&id, 1, sent.clone());
+        let later = Change::Place(placement("vm-a", "a.0"));
+        controller.jobs.want(&id, 0, later);
+        controller.unwritten.under_way = 1;
+        controller.on_changes(id, vec![(1, sent)], Answer::Unknown);
+        controller.now = Millis(9_000);
+        controller.void_unknown();
+        let b = share_key(&BlockId::parse("b.0").unwrap());
+        assert_eq!(written(&controller), [b]);
+    }
+
+    /// A leader placed in another's block by raising its share. That was carried out after its term,
+    /// when its successor had dealt the same room to others.
+    #[test]
+    fn what_a_leader_places_in_blocks_of_others_rests_on_its_term() {
+        for (holder, permit, required) in [("n0", 1, false), ("n1", 2, true)] {
+            let (mut controller, id) = leading(vec![Task::FRESH]);
+            let record = format!("{{\"holder\":\"{holder}\",\"permit\":{permit}}}");
+            let block = BlockId::parse("b.0").unwrap();
+            let key = crate::lease::block_key(&block);
+            controller.feed(&key, Some(&record), Revision(40));
+            assert_eq!(controller.leases.blocks[&block].1, Token(40));
+            controller.effects.clear();
+            let change = Change::Place(placement("vm-b", "b.0"));
+            controller.jobs.want(&id, 0, change);
+            controller.now = Millis(9_000);
+            controller.commit(&id);
+            let conditions = controller.effects.iter().find_map(|effect| match effect {
+                Effect::Store {
+                    call: Call::Txn(txn),
+                    ..
+                } => Some(txn.conditions.clone()),
+                _ => None,
+            });
+            let conditions = conditions.expect("it is written");
+            let rests = conditions.contains(&(LEADER.to_string(), Revision(9)));
+            assert_eq!(rests, required, "held by {holder}: {conditions:?}");
+        }
+    }
+}
