A machine's counter is held against its own session only

A machine that began a new session under another holder counted as old with its former holder until its counter had passed that of the session known there, when counters begin anew with sessions. The test fails without.

--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -1102,7 +1102,11 @@
             let was_fit = machine.fit(now, silence);
             machine.heard = machine.heard.max(now - Millis(pulse.silent_ms));
             machine.heard_by = from.clone();
-            machine.session = Session(pulse.session);
+            let session = Session(pulse.session);
+            if session != machine.session {
+                // What we know of its counter is of another session.
+                (machine.session, machine.tally) = (session, 0);
+            }
             machine.hearing.told(!pulse.doubtful, now);
             machine.warned = pulse.warned;
             if machine.sick && !pulse.sick {
@@ -1254,4 +1258,45 @@
             );
         }
     }
+
+    /// A block came back to us whose machine had begun a new session meanwhile, under another holder.
+    /// Its counter was held against that of the session that we knew, so what it said counted as old
+    /// for minutes, and it was given up for silence.
+    #[test]
+    fn a_counter_is_of_its_own_session() {
+        let cases = [
+            // session that the other holder told of, session and counter that the machine shows, newer
+            (1, 1, 50, false),
+            (1, 1, 51, true),
+            (2, 2, 5, true),
+            (3, 2, 900, false),
+        ];
+        for (told, session, tally, newer) in cases {
+            let (_, spec) = parse(body().to_string().as_bytes()).unwrap();
+            let (mut controller, _) = controller(spec, vec![Task::FRESH; 8]);
+            let host = HostId::from("vm-a");
+            let machine = controller.machines.get_mut(&host).unwrap();
+            (machine.session, machine.tally) = (Session(1), 50);
+            let held = r#"{"holder":"n1","permit":2}"#;
+            controller.feed("jt/block/a.0", Some(held), Revision(20));
+            let pulse = Pulse {
+                host: host.to_string(),
+                silent_ms: 0,
+                session: told,
+                doubtful: false,
+                warned: false,
+                sick: false,
+                draining: false,
+            };
+            let status = Status {
+                machines: vec![pulse],
+                ..Status::default()
+            };
+            controller.on_peer("n1".into(), Message::Status(status));
+            let machine = &controller.machines[&host];
+            assert_eq!(machine.session, Session(told));
+            let taken = machine.newer(Session(session), tally);
+            assert_eq!(taken, newer, "told of {told}, shows {session} {tally}");
+        }
+    }
 }
