--- a/crates/region/src/contention.rs
+++ b/crates/region/src/contention.rs
@@ -305,7 +305,7 @@
 fn phase(world: &World, id: &JobId) -> Phase {
     if world.rules.done.contains(id) {
         Phase::Done
-    } else if world.rules.wanted_aborts.contains(id) {
+    } else if world.rules.wanted_aborts.contains_key(id) {
         Phase::Aborted
     } else {
         Phase::Active
--- a/crates/region/src/live/users.rs
+++ b/crates/region/src/live/users.rs
@@ -134,7 +134,8 @@
         loop {
             tokio::time::sleep(POLL_EVERY).await;
             let told = if cancel_at.is_some_and(|at| tokio::time::Instant::now() >= at) {
-                self.shared.lock().rules.wanted_aborts.insert(id.clone());
+                let now = self.shared.lock().now();
+                self.shared.lock().rules.wants_abort(&id, now);
                 let path = format!("{path}/abort");
                 self.ask(Method::POST, &path, Vec::new(), SUBMIT).await
             } else {
--- a/crates/region/src/machines.rs
+++ b/crates/region/src/machines.rs
@@ -78,6 +78,10 @@
     pub hung_until: Millis,
     /// Its reports arrive, but nothing reaches it until then.
     pub deaf_until: Millis,
+    /// Only this controller's answers and orders reach it until then.
+    pub hears_only: Option<(usize, Millis)>,
+    /// Whose answer renewed its lease last, and when.
+    pub renewed: Option<(usize, Millis)>,
     /// When it last stopped and was back at once.
     pub back: Millis,
     pub address: String,
@@ -187,6 +191,8 @@
             unreachable_until: Millis(0),
             hung_until: Millis(0),
             deaf_until: Millis(0),
+            hears_only: None,
+            renewed: None,
             back: Millis(0),
             address: "10.1.0.1:1".into(),
         };
@@ -457,10 +463,17 @@
         })
     }
 
+    /// Whether what this controller sends reaches the machine.
+    pub fn hears(&self, host: &HostId, node: usize, now: Millis) -> bool {
+        let only = self.hosts.get(host).and_then(|m| m.hears_only);
+        only.is_none_or(|(only, until)| only == node || until <= now)
+    }
+
     /// A controller's answer to a report.
     pub fn answered(&mut self, out: &Outgoing, answer: ReportAnswer, now: Millis) {
         let nodes = self.nodes;
-        let Some(machine) = self.hosts.get_mut(&out.host) else {
+        let hears = self.hears(&out.host, out.node, now);
+        let Some(machine) = self.hosts.get_mut(&out.host).filter(|_| hears) else {
             return;
         };
         let alive = machine.dead.is_none() && machine.deaf_until <= now;
@@ -480,6 +493,7 @@
                     machine.next_report = now + SOON;
                 }
                 machine.lease_from = sent;
+                machine.renewed = Some((out.node, now));
                 self.execute(&out.host, orders, now);
             }
             ReportAnswer::Elsewhere(Some(foreman)) => {
--- a/crates/region/src/rules.rs
+++ b/crates/region/src/rules.rs
@@ -73,7 +73,8 @@
     pub accepted: HashSet<JobId>,
     pub done: HashSet<JobId>,
     pub aborted: HashMap<JobId, Millis>,
-    pub wanted_aborts: HashSet<JobId>,
+    /// Jobs whose users asked to cancel them, and when they did first.
+    pub wanted_aborts: HashMap<JobId, Millis>,
     /// When each job was first submitted, and when its first task came on a machine.
     pub submitted: HashMap<JobId, Millis>,
     pub first_start: HashMap<JobId, Millis>,
@@ -109,6 +110,11 @@
         self.submitted.entry(id.clone()).or_insert(now);
     }
 
+    /// A user asks to cancel a job.
+    pub fn wants_abort(&mut self, id: &JobId, now: Millis) {
+        self.wanted_aborts.entry(id.clone()).or_insert(now);
+    }
+
     /// What the answer to a submission, poll or cancellation says.
     pub fn told(&mut self, id: &JobId, told: &Told, machines: &Machines, now: Millis) {
         match told {
@@ -158,7 +164,7 @@
                 self.done.insert(id.clone());
             }
             Stage::Aborted => {
-                if self.done.contains(id) || !self.wanted_aborts.contains(id) {
+                if self.done.contains(id) || !self.wanted_aborts.contains_key(id) {
                     self.broken("went_back", format!("{id} to cancelled"));
                 }
                 self.aborted.entry(id.clone()).or_insert(now);
--- a/crates/region/src/sim.rs
+++ b/crates/region/src/sim.rs
@@ -12,7 +12,7 @@
 use jaspertiller::peers::Message;
 use jaspertiller::settings::{Operator, Settings};
 use jaspertiller::store::lanes::{Lanes, Next, Waiting};
-use jaspertiller::store::{Answer, Call, Class};
+use jaspertiller::store::{Answer, Call, Class, Txn};
 use jaspertiller::types::{Baton, HostId, JobId, Millis, NodeId, ReplyId, Revision, Session, Zone};
 use jaspertiller::workers::wire::{Order, ReportAnswer};
 use rand::rngs::SmallRng;
@@ -59,6 +59,15 @@
     pub hold: bool,
 }
 
+/// The state service refuses one controller alone: its calls are answered 503, its watches wait, and
+/// its lease runs out.
+#[derive(Clone)]
+pub struct Refusal {
+    pub node: usize,
+    pub since: u64,
+    pub until: u64,
+}
+
 /// A cut as one message meets it.
 #[derive(Clone, Copy)]
 struct Held {
@@ -107,6 +116,8 @@
     Node(usize, u64, Box<Event>),
     /// To the state service; whether an answer is still waited for.
     Store(usize, u64, Waiting<(u64, Call)>, bool),
+    /// A transaction whose sender gave up on it long ago.
+    LateWrite(Txn),
     /// A node's budget may allow another call.
     Budget(usize, u64),
     /// To a worker, when it was sent, and whether an answer is still waited for.
@@ -154,11 +165,22 @@
     pub outages: Vec<(u64, u64)>,
     pub cuts: Vec<Cut>,
     pub zone_cuts: Vec<ZoneCut>,
+    pub refusals: Vec<Refusal>,
     /// Share of transactions whose answer is lost, and that may be applied seconds late.
     pub lost_answers: f64,
+    /// Share of transactions that get no answer and are carried out 2 to 12 s later, after newer ones.
+    pub late_writes: f64,
+    /// How many of these changed something, and how many nothing any more.
+    pub late_written: (u64, u64),
+    /// Share of direct commands of which the command or its answer is held up, and for how long.
+    pub held_commands: Option<(f64, std::ops::Range<u64>)>,
+    /// How many of these were obeyed after their sender had given up.
+    pub obeyed_late: u64,
     /// Share of reports of which a copy comes, how much later, and the share of these of which
     /// nothing but the copy comes.
     pub copies: Option<(f64, std::ops::Range<u64>, f64)>,
+    /// Copies that came from an earlier session of their machine.
+    pub copies_of_old_sessions: u64,
     pub machines: Machines,
     pub cloud: Cloud,
     pub cloud_down: Vec<(u64, u64)>,
@@ -197,8 +219,14 @@
             outages: Vec::new(),
             cuts: Vec::new(),
             zone_cuts: Vec::new(),
+            refusals: Vec::new(),
             lost_answers: 0.0,
+            late_writes: 0.0,
+            late_written: (0, 0),
+            held_commands: None,
+            obeyed_late: 0,
             copies: None,
+            copies_of_old_sessions: 0,
             machines: Machines::new(&config, seed),
             cloud: Cloud::new(&config),
             cloud_down: Vec::new(),
@@ -338,6 +366,18 @@
         cut.or_else(|| self.zones_apart(Some(&self.settings[node].zone), None))
     }
 
+    /// Until when the state service refuses a node, and is away for all after that.
+    fn refused(&self, node: usize) -> Option<u64> {
+        let now = self.now;
+        let holds = |r: &&Refusal| r.node == node && r.since <= now && now < r.until;
+        let until = self.refusals.iter().find(holds)?.until;
+        let away = self
+            .outages
+            .iter()
+            .find(|(from, to)| (*from..*to).contains(&until));
+        Some(away.map_or(until, |(_, to)| *to))
+    }
+
     fn worker_cut(&self, node: usize, host: &HostId) -> Option<Held> {
         let cut = self.blocked(node, |c| c.from_workers);
         let zone = self.machines.hosts.get(host).map(|machine| &machine.zone);
@@ -395,6 +435,16 @@
                 }
             }
             Msg::Store(node, epoch, call, reply) => self.store_call(node, epoch, call, reply),
+            Msg::LateWrite(txn) => {
+                // While the state service is away it waits longer.
+                if self.during(&self.outages) {
+                    self.post(self.now + 500, Msg::LateWrite(txn));
+                } else if matches!(self.store.apply(txn), Answer::Committed(_)) {
+                    self.late_written.0 += 1;
+                } else {
+                    self.late_written.1 += 1;
+                }
+            }
             Msg::Budget(node, epoch) => {
                 if self.epochs[node] == epoch {
                     self.spend(node);
@@ -418,6 +468,9 @@
             Msg::Copy(out) => {
                 // Nobody waits for the answer, and the machine may be no more.
                 let (node, report) = (out.node, out.report);
+                let machine = self.machines.hosts.get(&out.host);
+                let old = machine.is_some_and(|m| m.session > report.shift.0);
+                self.copies_of_old_sessions += u64::from(old);
                 if self.worker_cut(node, &out.host).is_none() {
                     self.next += 1;
                     let reply = ReplyId(self.next);
@@ -457,7 +510,7 @@
                 if self.over(&job) {
                     return;
                 }
-                self.rules.wanted_aborts.insert(job.clone());
+                self.rules.wants_abort(&job, Millis(self.now));
                 let reply = self.owe(Owed::User(job.clone()));
                 let again = self.now + 2_000;
                 self.post(again, Msg::Abort(job.clone()));
@@ -582,8 +635,17 @@
                     self.send_to(node, now + DIRECT_LIMIT, Event::Direct { host, answer });
                 }
                 None => {
-                    let msg = Msg::Direct(node, epoch, host, baton, session, orders, now, true);
-                    self.post(now + delay, msg);
+                    let held = self.held_commands.clone();
+                    let held = held.filter(|(share, _)| self.rng.random_bool(*share));
+                    let by = held.map_or(0, |(_, range)| self.rng.random_range(range));
+                    // One that its sender has given up is obeyed all the same.
+                    let waits = by < DIRECT_LIMIT;
+                    if !waits {
+                        let (host, answer) = (host.clone(), None);
+                        self.send_to(node, now + DIRECT_LIMIT, Event::Direct { host, answer });
+                    }
+                    let msg = Msg::Direct(node, epoch, host, baton, session, orders, now, waits);
+                    self.post(now + delay + by, msg);
                 }
             },
             Effect::Inspect { host, .. } => {
@@ -635,6 +697,20 @@
         let delay = 2 + self.rng.random_range(0..6);
         let (now, epoch, tag) = (self.now, self.epochs[node], call.what.0);
         let txn = matches!(call.what.1, Call::Txn(_));
+        if self.refused(node).is_some() {
+            let answer = Answer::Refused;
+            return self.send_to(node, now + delay, Event::Store { tag, answer });
+        }
+        if let Call::Txn(late) = &call.what.1
+            && self.late_writes > 0.0
+            && self.store_cut(node).is_none()
+            && self.rng.random_bool(self.late_writes)
+        {
+            let at = now + self.rng.random_range(2_000..12_000);
+            self.post(at, Msg::LateWrite(late.clone()));
+            let answer = Answer::Unknown;
+            return self.send_to(node, now + CALL_LIMIT, Event::Store { tag, answer });
+        }
         let lost = txn && self.rng.random_bool(self.lost_answers);
         let late = lost && self.rng.random_bool(0.5);
         let unanswered = match self.store_cut(node) {
@@ -676,7 +752,8 @@
         for (id, answer) in self.store.woken() {
             if let Some((node, epoch, tag)) = self.watches.remove(&id) {
                 // What is on its way when the cut begins comes late, or not at all.
-                let (at, answer) = match self.store_cut(node) {
+                let refused = self.refused(node).map(|until| Held { until, hold: true });
+                let (at, answer) = match refused.or_else(|| self.store_cut(node)) {
                     Some(Held { until, hold: true }) => (until + 3, answer),
                     Some(_) => (self.now + CALL_LIMIT, Answer::Unknown),
                     None => (self.now + 3, answer),
@@ -766,17 +843,25 @@
         reply: bool,
     ) {
         let now = Millis(self.now);
-        if !self.machines.reachable(&host, now) {
-            let event = Box::new(Event::Direct { host, answer: None });
-            self.post(self.now + DIRECT_LIMIT, Msg::Node(node, epoch, event));
+        if !self.machines.reachable(&host, now) || !self.machines.hears(&host, node, now) {
+            if reply {
+                let event = Box::new(Event::Direct { host, answer: None });
+                self.post(self.now + DIRECT_LIMIT, Msg::Node(node, epoch, event));
+            }
             return;
         }
-        self.machines.direct(&host, baton, session, orders, now);
+        let some = !orders.is_empty();
+        let obeyed = self.machines.direct(&host, baton, session, orders, now);
+        self.obeyed_late += u64::from(obeyed && some && !reply);
         if reply {
             let report = self.machines.report(&host);
             let answer = Some(DirectAnswer { report });
+            // An answer that is held up may come after newer reports.
+            let held = self.held_commands.clone();
+            let held = held.filter(|(share, _)| self.rng.random_bool(*share));
+            let by = held.map_or(0, |_| self.rng.random_range(0..2_500));
             let event = Box::new(Event::Direct { host, answer });
-            self.post(self.now + 3, Msg::Node(node, epoch, event));
+            self.post(self.now + 3 + by, Msg::Node(node, epoch, event));
         }
     }
 
--- a/crates/region/tests/troubles.rs
+++ b/crates/region/tests/troubles/main.rs
@@ -3,6 +3,8 @@
 //! once, jobs that fail everywhere. No rule may break, all work has to end, and whatever is left has
 //! to be heard of and to wait for something that can be named.
 
+mod meetings;
+
 use std::ops::Range;
 
 use rand::rngs::SmallRng;
@@ -190,7 +192,8 @@
 fn finish(world: &mut World, name: &str) {
     world.run_until(CALM.max(world.now));
     world.copies = None;
-    world.lost_answers = 0.0;
+    world.held_commands = None;
+    (world.lost_answers, world.late_writes) = (0.0, 0.0);
     world.run_until(END);
     let broken: Vec<_> = world
         .jobs
