A share is raised by what the limit was checked for

One task of room was dealt twice; no failure was needed, only a team at its limit. What the leader's own block uses it knows, so its share rises to that; in others' blocks the raise is checked as it will be written, with all that is reserved there.

--- a/crates/region/src/rules.rs
+++ b/crates/region/src/rules.rs
@@ -238,7 +238,11 @@
             let sum = rooms.fold(Room::default(), |sum, room| sum.plus(*room));
             let over = |used: f64, most: f64| most > 0.0 && used > most + 1e-6;
             if over(sum.cpus, group.cpus_max) || over(sum.gpus, group.gpus_max) {
-                let what = format!("{} uses {sum:?} at {}", group.name, now.0);
+                let its =
+                    |id: &JobId| spec(id).is_some_and(|spec| group.teams.contains(&spec.team));
+                let by = present.iter().filter(|(_, task)| its(&task.job));
+                let by: Vec<String> = by.map(|(host, task)| format!("{task} on {host}")).collect();
+                let what = format!("{} uses {sum:?} at {}: {by:?}", group.name, now.0);
                 self.broken("quota", what);
             }
         }
--- a/src/controller/sharing.rs
+++ b/src/controller/sharing.rs
@@ -32,7 +32,7 @@
         for team in self.limits(job) {
             let raises = raise.is_some_and(|tasks| {
                 let room = job.spec.room.times(f64::from(tasks));
-                self.may_raise() && quota::covers(quota::slack(team, &self.dealt_out(team)), room)
+                self.may_raise() && quota::covers(quota::slack(team, &self.to_be_dealt(team)), room)
             });
             if raises {
                 continue;
@@ -84,6 +84,25 @@
         self.all_blocks(team).into_iter().map(dealt).collect()
     }
 
+    /// The same with the shares as they will be raised for what is reserved in others' blocks.
+    fn to_be_dealt(&self, team: &TeamSettings) -> Vec<Dealt> {
+        let raised = |block: BlockId, dealt: Dealt| {
+            let room = self.jobs.reserved_in(&team.name, &block);
+            let used = self.jobs.used_in(&team.name, &block).minus(room);
+            let own = self.own(&block);
+            let share = quota::raised(dealt.share, used, room, own);
+            Dealt { share, ..dealt }
+        };
+        let blocks = self.all_blocks(team).into_iter();
+        let dealt = blocks.zip(self.dealt_out(team));
+        dealt.map(|(block, dealt)| raised(block, dealt)).collect()
+    }
+
+    /// Whether we hold a block and know all that is placed there.
+    fn own(&self, block: &BlockId) -> bool {
+        self.leases.holds(block, &self.me).is_some() && self.complete(block)
+    }
+
     /// The leader deals the teams' limits out anew where shares are far off.
     pub(super) fn keep_shares(&mut self) {
         if self.now.since(self.dealt) < DEAL_EVERY || !self.may_place() || !self.may_raise() {
@@ -147,24 +166,25 @@
             return true;
         }
         for (block, tasks) in placed {
-            let ours = self.leases.holds(block, &self.me).is_some() && self.complete(block);
+            let own = self.own(block);
             txn.require(share_key(block), self.shares.version(block));
-            let mut raised = None;
+            let mut record = None;
             for team in limits {
                 // What is reserved counts as used already.
                 let used = self.jobs.used_in(&team.name, block);
                 let share = self.shares.share(block, &team.name);
-                if ours && quota::within_share(used, share, team) {
+                if own && quota::within_share(used, share, team) {
                     continue;
                 }
-                if !self.may_raise() || !quota::keeps_limit(team, &self.dealt_out(team)) {
+                if !self.may_raise() || !quota::keeps_limit(team, &self.to_be_dealt(team)) {
                     return false;
                 }
                 let room = job.spec.room.times(f64::from(*tasks));
-                let record = raised.unwrap_or_else(|| self.shares.record(block));
-                raised = Some(quota::raise(record, &team.name, used.minus(room), room));
+                let record = record.get_or_insert_with(|| self.shares.record(block));
+                let raised = quota::raised(share, used.minus(room), room, own);
+                record.insert(team.name.clone(), raised);
             }
-            if let Some(record) = raised {
+            if let Some(record) = record {
                 txn.put(share_key(block), &record);
             }
         }
@@ -265,12 +285,17 @@
     use crate::types::{Attempt, Session, Token};
 
     fn leading(tasks: Vec<Task>) -> (Controller, JobId) {
+        leading_with(8.0, 64.0, tasks)
+    }
+
+    fn leading_with(gpus: f64, gpus_max: f64, tasks: Vec<Task>) -> (Controller, JobId) {
         let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
         (spec.shape, spec.tasks) = (Shape::Array, tasks.len() as u32);
         (spec.one_zone, spec.spread) = (false, false);
         let mut settings = settings();
         settings["deployment"]["teams"] = serde_json::json!([{"name": spec.team.to_string(),
-            "cpus": 0.0, "cpus_max": 0.0, "gpus": 8.0, "gpus_max": 64.0}]);
+            "cpus": 0.0, "cpus_max": 0.0, "gpus": 1.0, "gpus_max": gpus_max}]);
+        spec.room.gpus = gpus;
         let (mut controller, id) = controller_with(&settings, spec, tasks);
         let lead = r#"{"leader":"n0","permit":1}"#;
         controller.feed(LEADER, Some(lead), Revision(9));
@@ -387,4 +412,52 @@
             assert_eq!(rests, required, "held by {holder}: {conditions:?}");
         }
     }
+
+    /// Two tasks were reserved in a block that used less than its share. Its share was raised by both,
+    /// though the limit had been checked for what the block would use: in the end all blocks together
+    /// could use a task more than the limit.
+    #[test]
+    fn a_share_is_raised_by_what_the_limit_was_checked_for() {
+        let cases = [
+            // who holds the block, its share, share of the other, tasks placed; new share of the block
+            ("n0", 1.0, 4.0, 2, Some(2.0)),
+            ("n0", 1.0, 4.0, 3, None),
+            ("n0", 2.0, 4.0, 2, Some(2.0)),
+            // Another holder may have used its share unseen.
+            ("n1", 1.0, 4.0, 2, None),
+            ("n1", 1.0, 3.0, 2, Some(3.0)),
+            ("n1", 0.0, 4.0, 2, Some(2.0)),
+        ];
+        for (holder, share, other, tasks, raised) in cases {
+            let (mut controller, id) = leading_with(1.0, 6.0, vec![Task::FRESH; 4]);
+            let record = format!("{{\"holder\":\"{holder}\",\"permit\":1}}");
+            let [a, b] = ["a.0", "b.0"].map(|name| BlockId::parse(name).unwrap());
+            controller.feed(&crate::lease::block_key(&b), Some(&record), Revision(20));
+            let team = controller.jobs.get(&id).unwrap().spec.team.clone();
+            for (block, gpus) in [(&a, other), (&b, share)] {
+                let record = format!("{{\"{team}\":{{\"cpus\":0.0,\"gpus\":{gpus:?}}}}}");
+                controller.feed(&share_key(block), Some(&record), Revision(21));
+            }
+            for index in 0..tasks {
+                let change = Change::Place(placement("vm-b", "b.0"));
+                controller.jobs.want(&id, index, change);
+            }
+            let mut txn = Txn::default();
+            let job = controller.jobs.get(&id).unwrap();
+            let allowed = controller.require_shares(job, &mut txn, &[(b.clone(), tasks)]);
+            let case = format!("{holder}, {share}, {other}, {tasks}");
+            assert_eq!(allowed, raised.is_some(), "{case}");
+            let put = txn.changes.iter().find_map(|change| match change {
+                Write::Put { data, .. } => Some(data.clone()),
+                Write::Drop { .. } => None,
+            });
+            let put = put.map(|data| {
+                let record: serde_json::Value = serde_json::from_str(&data).unwrap();
+                record[team.to_string()]["gpus"].as_f64().unwrap()
+            });
+            if let Some(raised) = raised {
+                assert_eq!(put.unwrap_or(share), raised, "{case}");
+            }
+        }
+    }
 }
--- a/src/jobs/cache.rs
+++ b/src/jobs/cache.rs
@@ -339,6 +339,14 @@
     }
 }
 
+fn room_in(blocks: &InBlock, team: &Team, block: &BlockId) -> Room {
+    let blocks = blocks.get(team);
+    blocks
+        .and_then(|blocks| blocks.get(block))
+        .map(|(room, _)| *room)
+        .unwrap_or_default()
+}
+
 /// Adds to the sums of a team and its groups.
 fn count(sums: &mut HashMap<Team, Room>, groups: &Groups, team: &Team, room: Room) {
     for team in with_groups(groups, team) {
@@ -370,6 +378,8 @@
     in_block: InBlock,
     /// Placed in memory, not yet committed.
     reserved_by: HashMap<Team, Room>,
+    /// The same by block.
+    reserved_in: InBlock,
     /// Pages that came before their job's record.
     early: HashMap<JobId, BTreeMap<u32, (Revision, String)>>,
     /// Pages of jobs that are over, of no use any more.
@@ -454,6 +464,7 @@
         self.usage.clear();
         self.left_by.clear();
         self.reserved_by.clear();
+        self.reserved_in.clear();
         self.in_block.clear();
         for job in self.jobs.values() {
             let (groups, spec) = (&self.groups, &job.spec);
@@ -467,6 +478,7 @@
             for change in job.changes.values() {
                 if let Change::Place(placement) = change {
                     count(&mut self.reserved_by, groups, &spec.team, spec.room);
+                    enter(&mut self.reserved_in, groups, &placement.block, spec);
                     enter(&mut self.in_block, groups, &placement.block, spec);
                 }
             }
@@ -493,11 +505,12 @@
 
     /// What a team's tasks use in one block, reserved ones included.
     pub fn used_in(&self, team: &Team, block: &BlockId) -> Room {
-        let blocks = self.in_block.get(team);
-        blocks
-            .and_then(|blocks| blocks.get(block))
-            .map(|(room, _)| *room)
-            .unwrap_or_default()
+        room_in(&self.in_block, team, block)
+    }
+
+    /// Of that, what is reserved and not yet in the records.
+    pub fn reserved_in(&self, team: &Team, block: &BlockId) -> Room {
+        room_in(&self.reserved_in, team, block)
     }
 
     /// The blocks that a team has tasks in.
@@ -694,6 +707,7 @@
             occupy(&mut self.uses, &placement.host, &job.spec, false);
             let (groups, spec) = (&self.groups, &job.spec);
             enter(&mut self.in_block, groups, &placement.block, spec);
+            enter(&mut self.reserved_in, groups, &placement.block, spec);
             count(&mut self.reserved_by, groups, &spec.team, spec.room);
         } else if let Some(host) = job.task(index).placement().map(|p| p.host.clone()) {
             vacate(&mut self.uses, &host, &job.spec, true);
@@ -721,6 +735,7 @@
                 vacate(&mut self.uses, &placement.host, &job.spec, false);
                 let (groups, spec) = (&self.groups, &job.spec);
                 leave(&mut self.in_block, groups, &placement.block, spec);
+                leave(&mut self.reserved_in, groups, &placement.block, spec);
                 let less = Room::default().minus(spec.room);
                 count(&mut self.reserved_by, groups, &spec.team, less);
             }
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -208,14 +208,19 @@
         .collect()
 }
 
-/// A record with a team's share raised by `room`.
-pub fn raise(mut record: ShareRecord, team: &Team, used: Room, room: Room) -> ShareRecord {
-    let share = record.entry(team.clone()).or_default();
+/// A share raised for `room` that is placed where `used` is seen to be used. A holder may have used the
+/// rest of its share unseen, so it is not counted on unless the block is the leader's `own`.
+pub fn raised(share: Share, used: Room, room: Room, own: bool) -> Share {
+    let at_least = |a: Share, b: Share| Share {
+        cpus: a.cpus.max(b.cpus),
+        gpus: a.gpus.max(b.gpus),
+    };
     // A block may use more than its share, if that was larger before.
-    share.cpus = share.cpus.max(used.cpus);
-    share.gpus = share.gpus.max(used.gpus);
-    *share = share.plus(Share::of(room));
-    record
+    if own {
+        at_least(share, Share::of(used.plus(room)))
+    } else {
+        at_least(share, Share::of(used)).plus(Share::of(room))
+    }
 }
 
 fn under(amount: f64, most: f64) -> bool {
@@ -306,7 +311,12 @@
                 if rng.random_bool(0.3) && covers(slack(&team, &blocks), least) {
                     // The leader places in a block, and raises its share by as much.
                     let block = rng.random_range(0..6);
-                    share[block] = share[block].max(seen[block]) + 4.0;
+                    let room = |gpus| Room {
+                        gpus,
+                        ..Room::default()
+                    };
+                    let raised = raised(blocks[block].share, room(seen[block]), least, false);
+                    share[block] = raised.gpus;
                     used[block] += 4.0;
                 } else {
                     for (block, dealt) in deal(&team, least, &blocks).into_iter().enumerate() {
