Tasks on a machine that no list shows are released, whoever is left to hear of it

Now a machine that no list shows so long after we came to lead that all lists are newer, and that nobody heard for a lease, is deleted by name, within the bounds on silence.

--- a/crates/region/src/cloud.rs
+++ b/crates/region/src/cloud.rs
@@ -14,7 +14,7 @@
 pub struct Cloud {
     config: Config,
     hires: HashMap<String, Vec<HostId>>,
-    deleted: BTreeSet<HostId>,
+    pub deleted: BTreeSet<HostId>,
     made: u32,
     /// Machines that were well, reachable and at work when they were deleted.
     pub deleted_at_work: u64,
--- a/crates/region/tests/troubles/meetings.rs
+++ b/crates/region/tests/troubles/meetings.rs
@@ -331,6 +331,33 @@
             vec![("jobs in the middle of their ends", between)]
         },
     },
+    Meeting {
+        name: "the leader is refused just as it has dead machines deleted",
+        controllers: 5,
+        lease_s: None,
+        play: |w| {
+            // The holders come after the machines: none has heard them, so none can tell that they left.
+            w.run_until(AT - 100);
+            (0..3).for_each(|index| w.kill_worker(index));
+            (0..5).for_each(|node| w.crash(node, AT, 200 + 50 * node as u64));
+            w.run_until(AT + 10_000);
+            let old = leader(w);
+            // Deleted, and not yet written: from then on nobody else knows.
+            let before = w.cloud.deleted.len();
+            while w.cloud.deleted.len() == before && w.now < AT + 25_000 {
+                w.run_until(w.now + 20);
+            }
+            w.refusals.push(Refusal {
+                node: old,
+                since: w.now,
+                until: w.now + 9_000,
+            });
+            let gone = w.cloud.deleted.len() - before;
+            w.abort_at(w.now + 2_000, 0);
+            w.run_until(w.now + 30_000);
+            vec![("deleted and not written", gone as u64)]
+        },
+    },
     Meeting {
         name: "old reports after newer ones, of earlier sessions, to holders old and new",
         controllers: 5,
--- a/src/controller/fleet_keeping.rs
+++ b/src/controller/fleet_keeping.rs
@@ -239,20 +239,23 @@
                 silenced.push(self.suspect(host, &rented.zone));
             }
         }
-        // Machines that only the records know: a list need not show them any more.
+        // Machines that no list shows any more, though the records have tasks there: an earlier leader
+        // may have had them deleted, and been kept from writing what the cloud said.
         for host in self.jobs.hosts() {
-            if self.fleet.hosts.contains_key(host) || self.machines.contains_key(host) {
+            if self.fleet.hosts.contains_key(host) {
                 continue;
             }
             let block = self
                 .jobs
                 .on_host(host)
                 .find_map(|(id, index)| Some(&self.jobs.get(id)?.task(*index).placement()?.block));
-            if let Some(block) = block
-                && self
-                    .silent_for(host, block)
-                    .is_some_and(|silent| silent.outlasts(lease))
-            {
+            let Some(block) = block else { continue };
+            let silent = self.silent_for(host, block);
+            // A holder whose last machine this was hears nobody, and can't tell. But what was there when
+            // we came to lead and is on no list so long after is there no more.
+            let unlisted = self.fleet.listed.since(self.led_since) > self.lists_lag()
+                && self.last_heard(host) + lease < self.now;
+            if unlisted || silent.is_some_and(|silent| silent.outlasts(lease)) {
                 silenced.push(self.suspect(host, &block.zone));
             }
         }
@@ -757,11 +760,16 @@
         }
     }
 
+    /// No list is older than this.
+    fn lists_lag(&self) -> Millis {
+        Millis::from_secs(self.settings.deployment.cloud.list_lag_s * 2.0 + 5.0)
+    }
+
     /// A machine that was listed and is no more, nor heard, is gone.
     fn end_of_list(&mut self) {
         self.fleet.listing = false;
-        let lag = Millis::from_secs(self.settings.deployment.cloud.list_lag_s * 2.0 + 5.0);
-        let now = self.now;
+        self.fleet.listed = self.now;
+        let (lag, now) = (self.lists_lag(), self.now);
         let vanished: Vec<HostId> = self
             .fleet
             .hosts
@@ -849,4 +857,65 @@
             assert_eq!(!job.changes.is_empty(), released, "deleted: {gone}");
         }
     }
+
+    /// A leader that the state service refused had machines deleted, and could not write that their tasks
+    /// had left. Its successor had heard of these machines, and no list showed them any more: their
+    /// jobs waited for ever, and their cancellations were never told.
+    #[test]
+    fn a_silent_machine_that_no_list_shows_is_deleted_for_its_tasks() {
+        let cases = [
+            // the machine is known, seconds since it was heard, the list shows it, its holder hears others,
+            // seconds that we have led and read lists; deleted
+            (true, 60, false, true, 90, true),
+            (true, 60, true, true, 90, true),
+            (true, 1, false, true, 90, false),
+            (false, 60, false, true, 90, true),
+            // Its holder's last machine was this one.
+            (false, 60, false, false, 90, true),
+            (true, 60, false, false, 90, true),
+            (false, 60, false, false, 20, false),
+            (true, 1, false, false, 90, false),
+            (true, 60, true, false, 90, false),
+        ];
+        for (known, silent_s, listed, hears, led_s, deleted) in cases {
+            let here = Task::Placed(Placement {
+                host: "vm-2".into(),
+                block: BlockId::parse("a.0").unwrap(),
+                session: Session(1),
+                attempt: Attempt(1),
+            });
+            let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+            (spec.shape, spec.tasks) = (Shape::Array, 1);
+            let (mut controller, _) = controller(spec, vec![here]);
+            controller.now = Millis(100_000);
+            controller.hears = true;
+            controller.last_report = controller.now - Millis(if hears { 0 } else { 60_000 });
+            controller.led_since = controller.now - Millis(led_s * 1_000);
+            controller.fleet.listed = controller.now;
+            let block = BlockId::parse("a.0").unwrap();
+            controller.moved.insert(block.clone(), Millis(1));
+            let host = HostId::from("vm-2");
+            if known {
+                let (rig, zone, by) = ("g8".into(), "a".into(), "n0".into());
+                let mut machine = Machine::new(host.clone(), rig, zone, false, block, by);
+                machine.heard = controller.now - Millis(silent_s * 1_000);
+                controller.machines.insert(host.clone(), machine);
+            }
+            if listed {
+                let rented = Rented {
+                    rig: "g8".into(),
+                    zone: "a".into(),
+                    spot: false,
+                    stage: Stage::Running,
+                    since: Millis(0),
+                    seen: controller.now,
+                    idle: None,
+                };
+                controller.fleet.hosts.insert(host.clone(), rented);
+            }
+            controller.delete_lost();
+            let case = format!("{known}, {silent_s} s, {listed}, {hears}, {led_s} s");
+            assert_eq!(controller.fleet.deleting.contains(&host), deleted, "{case}");
+        }
+    }
 }
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -115,6 +115,13 @@
         peer.filter(|peer| self.now.since(peer.heard) <= WORD_HOLDS)
     }
 
+    /// When anybody heard a machine last, as far as we know; 0: never.
+    pub(super) fn last_heard(&self, host: &HostId) -> Millis {
+        let known = self.machines.get(host).map(|m| m.heard);
+        let heard = known.or(self.heard_of.get(host).copied());
+        heard.unwrap_or_default()
+    }
+
     /// How long a machine has been silent, by the word of whoever holds its block now; nobody
     /// else can tell. A holder that hears nobody can't either.
     pub(super) fn silent_for(&self, host: &HostId, block: &BlockId) -> Option<Silence> {
@@ -123,9 +130,7 @@
             .moved
             .get(block)
             .map_or(self.now, |at| self.now.since(*at));
-        let known = self.machines.get(host).map(|m| m.heard);
-        let heard = known.or(self.heard_of.get(host).copied());
-        let heard = heard.unwrap_or_default();
+        let heard = self.last_heard(host);
         let can_tell = if *holder == self.me {
             self.hears && self.now.since(self.last_report) <= self.silence()
         } else {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -125,4 +125,6 @@
     pub logged: Millis,
     pub list_started: Millis,
     pub listing: bool,
+    /// When the cloud's list was last read to its end.
+    pub listed: Millis,
 }
