--- a/tests/keeping_model.rs
+++ b/tests/models/keeping.rs
@@ -3,8 +3,6 @@
 //! cancelled. Each condition that this rests on, left out, breaks it. The argument is in
 //! docs/zones.md.
 
-use std::collections::{HashSet, VecDeque};
-
 use jaspertiller::types::{Baton, Token};
 use jaspertiller::zones::keep::may_renew;
 
@@ -387,23 +385,10 @@
     }
 }
 
-/// Whether some order of events breaks a rule, and how many states there are until then.
 fn explore(rest_on: Conditions) -> (bool, usize) {
     let starts = [(true, true), (true, false), (false, true), (false, false)];
     let starts = starts.map(|(inside, running)| State::new(inside, running));
-    let mut known: HashSet<State> = starts.into_iter().collect();
-    let mut open: VecDeque<State> = starts.into();
-    while let Some(state) = open.pop_front() {
-        if state.broken() {
-            return (true, known.len());
-        }
-        for next in state.next(rest_on) {
-            if known.insert(next) {
-                open.push_back(next);
-            }
-        }
-    }
-    (false, known.len())
+    super::explore(&starts, |state| state.next(rest_on), State::broken)
 }
 
 #[test]
--- a/tests/late_writes_model.rs
+++ b/tests/models/late_writes.rs
@@ -3,8 +3,6 @@
 //! on two machines, and on none once its user was told. Each of four conditions, left out, breaks it; the
 //! job's version does not, as starts look at its phase too. The argument is in docs/meetings.md.
 
-use std::collections::{HashSet, VecDeque};
-
 /// So many attempts, and changes of the task's page, are looked at.
 const MOST_ATTEMPTS: u8 = 2;
 const MOST_CHANGES: u8 = 3;
@@ -258,21 +256,8 @@
     }
 }
 
-/// Whether some order of events breaks a rule, and how many states there are until then.
 fn explore(rest_on: Conditions) -> (bool, usize) {
-    let mut known: HashSet<State> = HashSet::from([State::new()]);
-    let mut open: VecDeque<State> = known.iter().copied().collect();
-    while let Some(state) = open.pop_front() {
-        if state.broken() {
-            return (true, known.len());
-        }
-        for next in state.next(rest_on) {
-            if known.insert(next) {
-                open.push_back(next);
-            }
-        }
-    }
-    (false, known.len())
+    super::explore(&[State::new()], |state| state.next(rest_on), State::broken)
 }
 
 #[test]
--- /dev/null
+++ b/tests/models/main.rs
@@ -0,0 +1,28 @@
+//! Exhaustive models: every order of events, up to a bound, of what safety rests on.
+
+mod keeping;
+mod late_writes;
+
+use std::collections::{HashSet, VecDeque};
+use std::hash::Hash;
+
+/// Whether some order of events breaks a rule, and how many states there are until then.
+fn explore<State: Copy + Eq + Hash>(
+    starts: &[State],
+    next: impl Fn(State) -> Vec<State>,
+    broken: impl Fn(&State) -> bool,
+) -> (bool, usize) {
+    let mut known: HashSet<State> = starts.iter().copied().collect();
+    let mut open: VecDeque<State> = starts.iter().copied().collect();
+    while let Some(state) = open.pop_front() {
+        if broken(&state) {
+            return (true, known.len());
+        }
+        for next in next(state) {
+            if known.insert(next) {
+                open.push_back(next);
+            }
+        }
+    }
+    (false, known.len())
+}
