--- a/crates/region/src/sim.rs
+++ b/crates/region/src/sim.rs
@@ -166,6 +166,8 @@
     pub cuts: Vec<Cut>,
     pub zone_cuts: Vec<ZoneCut>,
     pub refusals: Vec<Refusal>,
+    /// Until when calls to the state service take so much longer, and by how much.
+    pub slow_store: Option<(u64, std::ops::Range<u64>)>,
     /// Share of transactions whose answer is lost, and that may be applied seconds late.
     pub lost_answers: f64,
     /// Share of transactions that get no answer and are carried out 2 to 12 s later, after newer ones.
@@ -220,6 +222,7 @@
             cuts: Vec::new(),
             zone_cuts: Vec::new(),
             refusals: Vec::new(),
+            slow_store: None,
             lost_answers: 0.0,
             late_writes: 0.0,
             late_written: (0, 0),
@@ -694,7 +697,10 @@
     }
 
     fn call(&mut self, node: usize, call: Waiting<(u64, Call)>) {
-        let delay = 2 + self.rng.random_range(0..6);
+        let now = self.now;
+        let slow = self.slow_store.clone().filter(|(until, _)| now < *until);
+        let slow = slow.map_or(0, |(_, by)| self.rng.random_range(by));
+        let delay = 2 + slow + self.rng.random_range(0..6);
         let (now, epoch, tag) = (self.now, self.epochs[node], call.what.0);
         let txn = matches!(call.what.1, Call::Txn(_));
         if self.refused(node).is_some() {
--- a/crates/region/tests/troubles/meetings.rs
+++ b/crates/region/tests/troubles/meetings.rs
@@ -172,6 +172,15 @@
         lease_s: None,
         play: |w| gap(w, 9_000, true),
     },
+    Meeting {
+        name: "the state service is slow, then refuses the leader alone, then is away for all",
+        controllers: 5,
+        lease_s: None,
+        play: |w| {
+            w.slow_store = Some((AT + 70_000, 300..1_800));
+            gap(w, 4_500, false)
+        },
+    },
     Meeting {
         name: "handed over and back, all end, one returns within a second",
         controllers: 5,
@@ -504,6 +513,10 @@
         9 => world.copies = Some((luck.random_range(0.1..0.6), 1_000..50_000, 0.2)),
         10 => world.held_commands = Some((luck.random_range(0.1..0.6), 300..9_000)),
         11 => (0..3).for_each(|_| world.reboot_worker(some(luck), luck.random_bool(0.3))),
+        12 => {
+            let by = luck.random_range(100..2_300);
+            world.slow_store = Some((now + long, by / 4..by));
+        }
         _ => {
             let hosts = world.machines.hosts.values_mut();
             for machine in hosts.filter(|_| luck.random_bool(0.4)) {
@@ -514,6 +527,7 @@
     vec![0, long / 3, long]
 }
 
+/// Who led last, or the first while nobody leads.
 fn leader_or_first(world: &World) -> usize {
     world.store.get("jt/lead").map_or(0, |_| leader(world))
 }
@@ -542,7 +556,7 @@
     world.run_until(begin);
     let count = luck.random_range(2..4);
     for _ in 0..count {
-        let kind = luck.random_range(0..13);
+        let kind = luck.random_range(0..14);
         let from = world.now;
         tracing::info!(kind, from, "a trouble begins");
         let steps = strike(&mut world, kind, &mut luck);
