A proof of freshness answers no user once it is two seconds old

A poll's user waits 2 s, but a repeated submission's 5 s, so this could be heard. Such questions get 503 now. Excluded: the watch's own proof (it was asked for before the cut, as the rule wants).

--- a/crates/region/src/sim.rs
+++ b/crates/region/src/sim.rs
@@ -665,6 +665,7 @@
             }
             Effect::User { reply, response } => {
                 if let Some(Owed::User(id)) = self.owed.remove(&reply) {
+                    tracing::debug!(now, node, job = %id, ?response, "told");
                     self.told(id, &response);
                 }
             }
--- a/src/controller/cancelling.rs
+++ b/src/controller/cancelling.rs
@@ -41,9 +41,7 @@
                 self.clear(&job);
             }
             Answer::Conflict(revision) => {
-                self.fresh
-                    .waiting
-                    .push((revision, After::Abort { reply, job }));
+                self.once_applied(revision, self.now, After::Abort { reply, job });
                 self.proved();
             }
             _ => self.tell(reply, Response::later()),
--- a/src/controller/committing.rs
+++ b/src/controller/committing.rs
@@ -448,7 +448,7 @@
         }
         if !self.knows_all_of(job) {
             let (version, job) = (job.version, id.clone());
-            return self.fresh.waiting.push((version, After::Clear { job }));
+            return self.once_applied(version, self.now, After::Clear { job });
         }
         // A user waits for it.
         let class = match job.record.phase {
--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -21,6 +21,9 @@
 /// this for it asks for the revision.
 const WATCH_PROVES: Millis = Millis(250);
 const RETRY: Millis = Millis(300);
+/// A proof tells a user how things were when they asked. For longer than a poll waits for its answer
+/// it tells nothing: others may have told them what is newer meanwhile.
+const PROOF_HOLDS: Millis = Millis(2_000);
 
 impl Controller {
     pub(super) fn keep_membership(&mut self) {
@@ -291,8 +294,8 @@
                 } else {
                     self.now
                 };
-                for (_, after) in std::mem::take(&mut self.fresh.watched) {
-                    self.fresh.waiting.push((revision, after));
+                for (asked, after) in std::mem::take(&mut self.fresh.watched) {
+                    self.once_applied(revision, asked, after);
                 }
                 self.proved();
                 self.keep_membership();
@@ -485,8 +488,8 @@
         let asked = std::mem::take(&mut self.fresh.current);
         match answer {
             Answer::Revision(revision) => {
-                for (_, after) in asked {
-                    self.fresh.waiting.push((revision, after));
+                for (asked, after) in asked {
+                    self.once_applied(revision, asked, after);
                 }
                 self.proved();
             }
@@ -508,10 +511,37 @@
         let waiting = std::mem::take(&mut self.fresh.waiting);
         let (ready, waiting) = waiting
             .into_iter()
-            .partition(|(needed, _)| *needed <= applied);
+            .partition(|(needed, ..)| *needed <= applied);
         self.fresh.waiting = waiting;
-        for (_, after) in ready {
-            self.go_on(after);
+        for (_, asked, after) in ready {
+            if self.came_too_late(asked, &after) {
+                self.not_proved(after);
+            } else {
+                self.go_on(after);
+            }
+        }
+    }
+
+    /// Goes on once the cache is this new.
+    pub(super) fn once_applied(&mut self, revision: Revision, asked: Millis, after: After) {
+        self.fresh.waiting.push((revision, asked, after));
+    }
+
+    /// Whether a user's question was asked so long ago that its proof tells of the past.
+    fn came_too_late(&self, asked: Millis, after: &After) -> bool {
+        let of_user = matches!(after, After::State { .. } | After::Abort { .. });
+        of_user && self.now.since(asked) > PROOF_HOLDS
+    }
+
+    /// What a user asked was proved to be known at a revision that the cache has not reached since.
+    pub(super) fn give_up_proofs(&mut self) {
+        let waiting = std::mem::take(&mut self.fresh.waiting);
+        for (revision, asked, after) in waiting {
+            if self.came_too_late(asked, &after) {
+                self.not_proved(after);
+            } else {
+                self.once_applied(revision, asked, after);
+            }
         }
     }
 
@@ -544,3 +574,53 @@
         self.leases.holds(block, &self.me)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::controller::Effect;
+    use crate::controller::committing::tests::controller;
+    use crate::jobs::Task;
+    use crate::jobs::api::{Response, parse, tests::body};
+    use crate::types::ReplyId;
+
+    /// A poll was proved at a revision just before its controller was cut off from the state service. The
+    /// cache reached that revision 25 s later, with what the cut had held back, and the poll was
+    /// answered by it: a job that its user knew to be done was called queued.
+    #[test]
+    fn a_proof_tells_nothing_once_others_may_have_told_more() {
+        let cases = [
+            // ms from the question until the cache is as new as proved, whether time passes before that
+            (1_900, false, true),
+            (1_900, true, true),
+            (2_100, false, false),
+            (25_000, true, false),
+        ];
+        for (after_ms, ticks, answered) in cases {
+            let (_, spec) = parse(body().to_string().as_bytes()).unwrap();
+            let (mut controller, job) = controller(spec, vec![Task::FRESH; 8]);
+            (controller.now, controller.applied) = (Millis(5_000), Revision(20));
+            let reply = ReplyId(1);
+            let asked = controller.now;
+            let state = After::State { reply, job };
+            controller.once_applied(Revision(21), asked, state);
+            controller.proved();
+            assert!(controller.effects.is_empty());
+            controller.now = asked + Millis(after_ms);
+            if ticks {
+                controller.give_up_proofs();
+            }
+            controller.applied = Revision(22);
+            controller.proved();
+            let told = controller.effects.iter().filter_map(|effect| match effect {
+                Effect::User { response, .. } => Some(matches!(response, Response::State(_))),
+                _ => None,
+            });
+            assert_eq!(
+                told.collect::<Vec<_>>(),
+                [answered],
+                "{after_ms} ms, {ticks}"
+            );
+        }
+    }
+}
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -233,7 +233,7 @@
     current: Vec<(Millis, After)>,
     reading: bool,
     /// Proved as soon as the cache is this new.
-    waiting: Vec<(Revision, After)>,
+    waiting: Vec<(Revision, Millis, After)>,
 }
 
 /// Room that is being made for jobs: nobody of lower order takes it.
@@ -578,6 +578,7 @@
         self.keep_hearing();
         self.keep_zone();
         self.give_up_cancelling();
+        self.give_up_proofs();
         self.tell_homes();
         self.write_next();
         self.drop_leftovers();
--- a/src/controller/sharing.rs
+++ b/src/controller/sharing.rs
@@ -267,7 +267,7 @@
     }
 
     pub(super) fn settle_at(&mut self, job: JobId, revision: Revision) {
-        self.fresh.waiting.push((revision, After::Settle { job }));
+        self.once_applied(revision, self.now, After::Settle { job });
         self.proved();
     }
 }
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -77,9 +77,7 @@
                 // thought lost.
                 Answer::Conflict(revision) => {
                     let job = id.clone();
-                    self.fresh
-                        .waiting
-                        .push((revision, After::State { reply, job }));
+                    self.once_applied(revision, self.now, After::State { reply, job });
                     self.proved();
                 }
                 _ => {
