A stop is held against the attempt that it is of

The release got no answer; meanwhile the old stop was forgotten and the attempt started, and the release was carried out after that. What is seen of an attempt must stay true of it: now a stop is compared with the attempt.

--- a/src/workers/reconcile.rs
+++ b/src/workers/reconcile.rs
@@ -55,6 +55,12 @@
     }
     let mut settled: HashSet<&TaskId> = HashSet::default();
     let loose = |task: &TaskId, attempt: Attempt| machine.direct.may_come(task, attempt);
+    // A stop is of one attempt. Held against the next, it would have that released before it was started,
+    // and started once it was forgotten, while the release may still be on its way.
+    let stopped = |task: &TaskId, attempt: Attempt| {
+        let stop = stops.get(task);
+        stop.is_some_and(|stop| stop.attempt == attempt)
+    };
     for (task, seen) in &machine.tasks {
         let job = jobs.get(&task.job);
         let attempt = seen.attempt;
@@ -73,7 +79,7 @@
                 } else if alone
                     && job_wants_it(job)
                     && !pending
-                    && !stops.contains_key(task)
+                    && !stopped(task, attempt)
                     && gathering(job)
                 {
                     // A fetch takes longer than a task waits for its gang: the image is here now,
@@ -164,7 +170,7 @@
             // The worker began a new session, so it killed all it had.
             out.changes.push((id.clone(), *index, release));
         } else if placement.session == machine.session {
-            if job_wants_it(job) && !stops.contains_key(&task) {
+            if job_wants_it(job) && !stopped(&task, placement.attempt) {
                 out.orders.push(Order::Start {
                     task,
                     attempt: placement.attempt,
@@ -409,4 +415,34 @@
             assert_eq!(verbs.collect::<Vec<_>>(), expected, "{name}");
         }
     }
+
+    /// A task was stopped for another and placed again. The stop of its first attempt was held against the
+    /// second, which was released before it was started; it was started when the stop was forgotten, the
+    /// release was carried out after that, and it ran twice.
+    #[test]
+    fn a_stop_is_of_one_attempt() {
+        for (stopped, released) in [(1, false), (2, true)] {
+            let (id, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+            spec.tasks = 1;
+            let block = BlockId::parse("a.0").unwrap();
+            let placement = Placement {
+                host: "vm-1".into(),
+                block: block.clone(),
+                session: Session(1),
+                attempt: Attempt(2),
+            };
+            let jobs = one_placed(&id, spec, placement);
+            let (host, rig, zone) = ("vm-1".into(), "g8".into(), "a".into());
+            let mut machine = Machine::new(host, rig, zone, false, block, "n0".into());
+            (machine.session, machine.baton) = (Session(1), Baton::of(Token(4)));
+            let stop = Stop {
+                attempt: Attempt(stopped),
+                save: false,
+            };
+            let stops = Stops::from_iter([(TaskId { job: id, index: 0 }, stop)]);
+            let outcome = reconcile(&machine, Token(4), &jobs, &stops, |_| false);
+            assert_eq!(!outcome.changes.is_empty(), released, "stop of {stopped}");
+            assert_eq!(outcome.orders.is_empty(), released, "stop of {stopped}");
+        }
+    }
 }
