--- a/crates/region/src/lib.rs
+++ b/crates/region/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod rules;
 pub mod sim;
 pub mod state;
+pub mod waits;
--- a/crates/region/src/machines.rs
+++ b/crates/region/src/machines.rs
@@ -5,7 +5,7 @@
 
 use jaspertiller::jobs::{Shape, Spec};
 use jaspertiller::types::{
-    Attempt, Baton, HostId, Image, JobId, Millis, Room, Session, TaskId, Zone,
+    Attempt, Baton, HostId, Image, JobId, Millis, Room, Session, Sku, TaskId, Zone,
 };
 use jaspertiller::workers::wire::{Cause, Order, Pick, Report, ReportAnswer, TaskStage};
 use rand::rngs::SmallRng;
@@ -79,6 +79,8 @@
     pub hung_until: Millis,
     /// Its reports arrive, but nothing reaches it until then.
     pub deaf_until: Millis,
+    /// It reaches no controller until then, though direct commands reach it.
+    pub mute_until: Millis,
     /// Only this controller's answers and orders reach it until then.
     pub hears_only: Option<(usize, Millis)>,
     /// Whose answer renewed its lease last, and when.
@@ -150,6 +152,8 @@
     pub broken_gangs: u64,
     /// Run time that was lost to stops and failures.
     pub lost: Millis,
+    /// Tasks that their worker killed since nobody had answered it for a lease.
+    pub killed_by_lease: u64,
 }
 
 impl Machines {
@@ -169,6 +173,7 @@
             keep_past_lease: false,
             broken_gangs: 0,
             lost: Millis(0),
+            killed_by_lease: 0,
         }
     }
 
@@ -192,6 +197,7 @@
             unreachable_until: Millis(0),
             hung_until: Millis(0),
             deaf_until: Millis(0),
+            mute_until: Millis(0),
             hears_only: None,
             renewed: None,
             back: Millis(0),
@@ -258,9 +264,28 @@
 
     /// Every task that holds room on a machine now: those that fetch their image, too.
     pub fn holding(&self, now: Millis) -> impl Iterator<Item = &TaskId> {
+        self.on_hosts(now).map(|(_, task)| task)
+    }
+
+    /// The same with their machines.
+    pub fn on_hosts(&self, now: Millis) -> impl Iterator<Item = (&HostId, &TaskId)> {
         let tasks = self.tasks(now);
         let alive = tasks.filter(|(.., task)| task.stage != TaskStage::Exited);
-        alive.map(|(_, id, _)| id)
+        alive.map(|(host, id, _)| (host, id))
+    }
+
+    /// Machines that are up, well, in touch with everybody, and what is free there.
+    pub fn sound(&self, now: Millis) -> impl Iterator<Item = (&Machine, Room)> {
+        let sound = move |(host, m): &(&HostId, &Machine)| {
+            let apart = m.hears_only.is_some_and(|(_, until)| until > now);
+            self.reachable(host, now) && !m.sick && m.mute_until <= now && !apart
+        };
+        let sound = self.hosts.iter().filter(sound);
+        sound.map(|(_, machine)| (machine, self.rig.room.minus(self.used(machine))))
+    }
+
+    pub fn rig(&self) -> &Sku {
+        &self.rig.sku
     }
 
     /// Lets time pass; returns the tasks that came on a machine, and reports to be carried.
@@ -276,6 +301,8 @@
             if now > machine.lease_from + timing.lease && !keep {
                 machine.session += 1;
                 machine.lease_from = now;
+                let killed = machine.tasks.values().filter(|task| task.on_machine());
+                self.killed_by_lease += killed.count() as u64;
                 machine.tasks.clear();
                 machine.in_flight = None;
             }
--- a/crates/region/src/rules.rs
+++ b/crates/region/src/rules.rs
@@ -16,6 +16,9 @@
 /// Once the troubles are over, a job that is not heard of for longer is forgotten.
 const UNHEARD: Millis = Millis(75_000);
 
+/// And no job waits longer while a machine that fits has room and its team is under its limit.
+const LEFT_WAITING: Millis = Millis(90_000);
+
 /// The rules' names, as the protocol has them.
 pub const RULES: &[&str] = &[
     "ran_twice",
@@ -86,6 +89,10 @@
     /// Of each job when a question about it was last answered with its state, and the longest time
     /// without that since the troubles were over.
     silences: BTreeMap<JobId, (Millis, Millis)>,
+    /// Since when each job waits that could run, and the longest that one has waited since the troubles
+    /// were over.
+    could_run: BTreeMap<JobId, Millis>,
+    waited: BTreeMap<JobId, Millis>,
     pub starts: u64,
     cancel: Millis,
 }
@@ -193,6 +200,25 @@
         silences.filter(|(_, silence)| *silence > UNHEARD).collect()
     }
 
+    /// Jobs that wait now though they could run.
+    pub fn note_waiting(&mut self, jobs: Vec<JobId>, now: Millis) {
+        let before = std::mem::take(&mut self.could_run);
+        for id in jobs {
+            let since = before.get(&id).copied().unwrap_or(now);
+            let waited = self.waited.entry(id.clone()).or_default();
+            *waited = (*waited).max(now.since(since));
+            self.could_run.insert(id, since);
+        }
+    }
+
+    /// Jobs that were left waiting though they could run, and for how long.
+    pub fn left_waiting(&self) -> Vec<(JobId, Millis)> {
+        let waited = self.waited.iter().map(|(id, waited)| (id.clone(), *waited));
+        waited
+            .filter(|(_, waited)| *waited > LEFT_WAITING)
+            .collect()
+    }
+
     /// Looks at all machines after a step in which these tasks came on theirs.
     pub fn check(&mut self, started: &[(HostId, TaskId)], machines: &Machines, now: Millis) {
         self.starts += started.len() as u64;
--- a/crates/region/src/sim.rs
+++ b/crates/region/src/sim.rs
@@ -13,7 +13,9 @@
 use jaspertiller::settings::{Operator, Settings};
 use jaspertiller::store::lanes::{Lanes, Next, Waiting};
 use jaspertiller::store::{Answer, Call, Class, Txn};
-use jaspertiller::types::{Baton, HostId, JobId, Millis, NodeId, ReplyId, Revision, Session, Zone};
+use jaspertiller::types::{
+    Baton, HostId, JobId, Millis, NodeId, ReplyId, Revision, Session, TaskId, Zone,
+};
 use jaspertiller::workers::wire::{Order, ReportAnswer};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -24,6 +26,7 @@
 use crate::machines::{Description, Machines, Outgoing};
 use crate::rules::{Rules, Told};
 use crate::state::StateService;
+use crate::waits;
 
 /// Time passes for machines and leases in steps of so many milliseconds.
 const STEP: u64 = 50;
@@ -183,6 +186,16 @@
     pub copies: Option<(f64, std::ops::Range<u64>, f64)>,
     /// Copies that came from an earlier session of their machine.
     pub copies_of_old_sessions: u64,
+    /// How much longer what controllers and workers send each other is on its way.
+    pub slow_links: Option<std::ops::Range<u64>>,
+    /// Machines whose reports are held back on their way until they are let through, and these reports.
+    pub holds_reports: HashSet<HostId>,
+    pub held_reports: Vec<Outgoing>,
+    /// Share of the jobs whose user cancels, asks and submits once more as the last task ends; how often
+    /// that was done.
+    pub meet_ends: f64,
+    pub ends_met: u64,
+    ended: HashSet<JobId>,
     pub machines: Machines,
     pub cloud: Cloud,
     pub cloud_down: Vec<(u64, u64)>,
@@ -230,6 +243,12 @@
             obeyed_late: 0,
             copies: None,
             copies_of_old_sessions: 0,
+            slow_links: None,
+            holds_reports: HashSet::new(),
+            held_reports: Vec::new(),
+            meet_ends: 0.0,
+            ends_met: 0,
+            ended: HashSet::new(),
             machines: Machines::new(&config, seed),
             cloud: Cloud::new(&config),
             cloud_down: Vec::new(),
@@ -327,6 +346,24 @@
         }
     }
 
+    /// A machine reaches no controller for a while, though direct commands reach it.
+    pub fn mute_worker(&mut self, index: usize, until: u64) {
+        let host = self.alive(index);
+        if let Some(machine) = host.and_then(|host| self.machines.hosts.get_mut(&host)) {
+            machine.mute_until = Millis(until);
+        }
+    }
+
+    /// Reports that were held back arrive at a controller, whatever has become of their machines. Nobody
+    /// waits for the answers.
+    pub fn let_reports_through(&mut self, to: usize) {
+        self.holds_reports.clear();
+        for mut out in std::mem::take(&mut self.held_reports) {
+            out.node = to;
+            self.post(self.now + 3, Msg::Copy(out));
+        }
+    }
+
     /// A machine loses all that it has and is back at once.
     pub fn reboot_worker(&mut self, index: usize, anew: bool) {
         if let Some(host) = self.alive(index) {
@@ -467,6 +504,9 @@
                     self.send_to(node, self.now + 1, Event::Direct { host, answer });
                 }
             }
+            Msg::Report(out) if self.holds_reports.contains(&out.host) => {
+                self.held_reports.push(out);
+            }
             Msg::Report(out) => self.report_arrives(out),
             Msg::Copy(out) => {
                 // Nobody waits for the answer, and the machine may be no more.
@@ -560,8 +600,16 @@
     fn step(&mut self) {
         let now = Millis(self.now);
         self.store.pass(now, self.during(&self.outages));
+        let completed = self.machines.completed.len();
         let (started, reports) = self.machines.step(now);
         self.rules.check(&started, &self.machines, now);
+        if self.machines.completed.len() > completed {
+            self.meet_ends_of_jobs();
+        }
+        if now >= self.rules.calm && now.0 % 1_000 < STEP {
+            let waiting = waits::could_run(&self.machines, &self.rules, now);
+            self.rules.note_waiting(waiting, now);
+        }
         for out in reports {
             if let Some((share, later, instead)) = self.copies.clone()
                 && self.rng.random_bool(share)
@@ -572,11 +620,46 @@
                     continue;
                 }
             }
-            self.post(self.now + 3, Msg::Report(out));
+            let delay = 3 + self.slow_link();
+            self.post(self.now + delay, Msg::Report(out));
         }
         self.post(self.now + STEP, Msg::Step);
     }
 
+    fn slow_link(&mut self) -> u64 {
+        let by = self.slow_links.clone();
+        by.map_or(0, |by| self.rng.random_range(by))
+    }
+
+    /// Users who cancel, ask and submit once more just as the last task of their job ends.
+    fn meet_ends_of_jobs(&mut self) {
+        let all_done = |world: &Self, id: &JobId| {
+            let job = world.machines.jobs.get(id);
+            job.is_some_and(|job| {
+                let task = |index| TaskId {
+                    job: id.clone(),
+                    index,
+                };
+                let mut tasks = (0..job.spec.tasks).map(task);
+                tasks.all(|task| world.machines.completed.contains(&task))
+            })
+        };
+        for index in 0..self.jobs.len() {
+            let id = self.jobs[index].id();
+            if self.ended.contains(&id) || !all_done(self, &id) {
+                continue;
+            }
+            self.ended.insert(id.clone());
+            if self.meet_ends > 0.0 && self.rng.random_bool(self.meet_ends) {
+                self.ends_met += 1;
+                for msg in [Msg::Abort(id.clone()), Msg::Poll(id), Msg::Submit(index)] {
+                    let at = self.now + self.rng.random_range(0..1_500);
+                    self.post(at, msg);
+                }
+            }
+        }
+    }
+
     fn send_to(&mut self, node: usize, at: u64, event: Event) {
         let epoch = self.epochs[node];
         self.post(at, Msg::Node(node, epoch, Box::new(event)));
@@ -587,7 +670,7 @@
     }
 
     fn carry_out(&mut self, node: usize, effect: Effect) {
-        let delay = 2 + self.rng.random_range(0..6);
+        let delay = 2 + self.rng.random_range(0..6) + self.slow_link();
         let (now, epoch) = (self.now, self.epochs[node]);
         match effect {
             Effect::Store { tag, class, call } => {
@@ -830,7 +913,10 @@
             return self.post(until + 1, Msg::Report(out));
         }
         let down = self.nodes[node].is_none() || self.worker_cut(node, &out.host).is_some();
-        if down || !self.machines.speaks(&out.host, Millis(self.now)) {
+        let now = Millis(self.now);
+        let mute = self.machines.hosts.get(&out.host);
+        let mute = mute.is_some_and(|machine| machine.mute_until > now);
+        if down || mute || !self.machines.speaks(&out.host, now) {
             return;
         }
         let report = out.report.clone();
--- /dev/null
+++ b/crates/region/src/waits.rs
@@ -0,0 +1,100 @@
+//! Jobs that wait although a machine fits them, by what is really on the machines and not by what any
+//! controller believes.
+
+use std::collections::{BTreeMap, HashSet};
+
+use jaspertiller::jobs::{Shape, Spec};
+use jaspertiller::types::{JobId, Millis, Room, TaskId, Zone};
+
+use crate::machines::Machines;
+use crate::rules::{Group, Rules};
+
+/// A machine that is sound, by what is free there.
+struct Free<'a> {
+    zone: &'a Zone,
+    spot: bool,
+    room: Room,
+}
+
+/// Jobs of which a task waits, a gang's tasks together, though machines that fit have room and the
+/// team's limit leaves it.
+pub fn could_run(machines: &Machines, rules: &Rules, now: Millis) -> Vec<JobId> {
+    let on: HashSet<&TaskId> = machines.holding(now).collect();
+    let free: Vec<Free> = machines
+        .sound(now)
+        .map(|(machine, room)| Free {
+            zone: &machine.zone,
+            spot: machine.spot,
+            room,
+        })
+        .collect();
+    let over = |id: &JobId| rules.done.contains(id) || rules.wanted_aborts.contains_key(id);
+    let open = rules.accepted.iter().filter(|id| !over(id));
+    let able = open.filter(|id| {
+        let Some(job) = machines.jobs.get(*id) else {
+            return false;
+        };
+        let task = |index| TaskId {
+            job: (*id).clone(),
+            index,
+        };
+        let mut waiting = (0..job.spec.tasks).map(task);
+        let waits = |task: &TaskId| !machines.completed.contains(task) && !on.contains(task);
+        let waiting = waiting.by_ref().filter(waits).count() as u32;
+        let together = if job.spec.shape == Shape::Gang {
+            waiting
+        } else {
+            1
+        };
+        waiting > 0
+            && !job.broken
+            && rules.groups.iter().all(|group| {
+                !group.teams.contains(&job.spec.team)
+                    || leaves(
+                        group,
+                        machines,
+                        &on,
+                        job.spec.room.times(f64::from(together)),
+                    )
+            })
+            && fits(&job.spec, id, together, machines, &free, now)
+    });
+    able.cloned().collect()
+}
+
+fn leaves(group: &Group, machines: &Machines, on: &HashSet<&TaskId>, more: Room) -> bool {
+    let specs = on.iter().filter_map(|task| machines.jobs.get(&task.job));
+    let its = specs.filter(|job| group.teams.contains(&job.spec.team));
+    let used = its.fold(more, |sum, job| sum.plus(job.spec.room));
+    let within = |used: f64, most: f64| most <= 0.0 || used <= most + 1e-6;
+    within(used.cpus, group.cpus_max) && within(used.gpus, group.gpus_max)
+}
+
+fn fits(
+    spec: &Spec,
+    id: &JobId,
+    tasks: u32,
+    machines: &Machines,
+    free: &[Free],
+    now: Millis,
+) -> bool {
+    let mut placed: BTreeMap<&Zone, u32> = BTreeMap::new();
+    for (host, _) in machines.on_hosts(now).filter(|(_, task)| task.job == *id) {
+        *placed.entry(&machines.hosts[host].zone).or_default() += 1;
+    }
+    let mut room: BTreeMap<&Zone, u32> = BTreeMap::new();
+    for machine in free {
+        let elsewhere = spec.one_zone && placed.keys().any(|zone| *zone != machine.zone);
+        let crowded =
+            spec.spread && placed.get(machine.zone).copied().unwrap_or(0) >= spec.zone_share();
+        let rig = machines.rig();
+        if spec.allows(rig, machine.zone, machine.spot) && !elsewhere && !crowded {
+            *room.entry(machine.zone).or_default() += machine.room.holds(spec.room);
+        }
+    }
+    if spec.one_zone {
+        room.values().any(|holds| *holds >= tasks)
+    } else {
+        room.values().sum::<u32>() >= tasks
+    }
+}
--- a/crates/region/tests/troubles/main.rs
+++ b/crates/region/tests/troubles/main.rs
@@ -194,6 +194,7 @@
     world.copies = None;
     world.held_commands = None;
     (world.lost_answers, world.late_writes) = (0.0, 0.0);
+    (world.slow_links, world.meet_ends) = (None, 0.0);
     world.run_until(END);
     let broken: Vec<_> = world
         .jobs
@@ -208,6 +209,9 @@
     assert!(unfinished.is_empty(), "{name}: {unfinished:?}");
     let unaccounted = world.unaccounted();
     assert!(unaccounted.is_empty(), "{name}: {unaccounted:?}");
+    let mut left = world.rules.left_waiting();
+    left.retain(|(id, _)| !broken.contains(id));
+    assert!(left.is_empty(), "{name}: left waiting: {left:?}");
     let unheard = world.rules.unheard();
     assert!(unheard.is_empty(), "{name}: {unheard:?}");
 }
@@ -310,7 +314,7 @@
         let log = tracing_subscriber::fmt()
             .with_max_level(level)
             .without_time();
-        log.with_ansi(false).with_writer(std::io::stderr).init();
+        let _ = log.with_ansi(false).with_writer(std::io::stderr).try_init();
     }
 }
 
--- /dev/null
+++ b/crates/region/tests/troubles/meetings/machines.rs
@@ -0,0 +1,341 @@
+//! Meetings in which machines and their work are what cannot be seen.
+
+use std::collections::HashSet;
+
+use jaspertiller::types::{HostId, JobId, Millis, TaskId};
+use tiller_region::sim::{JobPlan, World, ZoneCut, job};
+
+use super::super::alone;
+use super::{AT, Meeting, at_work, leader, told};
+
+/// Machines that are up now and have tasks.
+fn busy(world: &World) -> Vec<HostId> {
+    let hosts: HashSet<&HostId> = world
+        .machines
+        .present(Millis(world.now))
+        .map(|(host, _)| host)
+        .collect();
+    let mut hosts: Vec<HostId> = hosts.into_iter().cloned().collect();
+    hosts.sort();
+    hosts
+}
+
+fn jobs_on(world: &World, hosts: &[HostId]) -> HashSet<JobId> {
+    let present = world.machines.present(Millis(world.now));
+    let here = present.filter(|(host, _)| hosts.contains(host));
+    here.map(|(_, task)| task.job.clone()).collect()
+}
+
+/// These machines reach no controller for a while. Once that could be noticed, nothing new may be put
+/// on them.
+fn mute(world: &mut World, hosts: &[HostId], for_ms: u64) {
+    const NOTICED: u64 = 7_000;
+    let (from, until) = (world.now, world.now + for_ms);
+    for host in hosts {
+        world.machines.hosts.get_mut(host).unwrap().mute_until = Millis(until);
+    }
+    let on = |world: &World| -> HashSet<(HostId, TaskId, u64)> {
+        let tasks = hosts.iter().flat_map(|host| {
+            let machine = &world.machines.hosts[host];
+            let tasks = machine.tasks.iter();
+            tasks.map(|(task, known)| (host.clone(), task.clone(), known.attempt.0))
+        });
+        tasks.collect()
+    };
+    world.run_until(from + NOTICED);
+    let mut known = on(world);
+    while world.now < until {
+        world.run_until(world.now + 100);
+        let new: Vec<_> = on(world).difference(&known).cloned().collect();
+        assert!(
+            new.is_empty(),
+            "at {}: put on mute ones: {new:?}",
+            world.now
+        );
+        known.extend(new);
+    }
+}
+
+/// Work that keeps coming, in tasks that come and go.
+fn stream(world: &mut World, from: u64, to: u64) {
+    for index in 0..(to - from) / 1_500 {
+        let mut plan = job(200 + index as usize, "large", "sweep", 3, 1.0, 7_000);
+        plan.at = Some(from + 1_500 * index);
+        world.submit(plan);
+    }
+}
+
+/// An array that must stay in one zone, and one that must be in a certain zone.
+fn bound(index: usize) -> JobPlan {
+    let mut plan = job(100 + index, "large", "sweep", 6, 2.0, 25_000);
+    if index % 2 == 0 {
+        plan.body["oneZone"] = true.into();
+    } else {
+        plan.body["yard"] = "a".into();
+    }
+    plan.at = Some(3_000 + 4_000 * index as u64);
+    plan
+}
+
+/// What a team's tasks use now.
+fn gpus_of(world: &World, team: &str) -> f64 {
+    let tasks = world.machines.holding(Millis(world.now));
+    let specs = tasks.map(|task| &world.machines.jobs[&task.job].spec);
+    let its = specs.filter(|spec| spec.team.as_str() == team);
+    its.map(|spec| spec.room.gpus).sum()
+}
+
+pub const MEETINGS: &[Meeting] = &[
+    Meeting {
+        name: "some machines reach no controller while direct commands reach them, and jobs are cancelled",
+        controllers: 3,
+        lease_s: None,
+        play: |w| {
+            stream(w, AT - 10_000, AT + 45_000);
+            w.run_until(AT);
+            let hosts: Vec<HostId> = busy(w).into_iter().step_by(4).collect();
+            let began = jobs_on(w, &hosts);
+            for index in 0..6 {
+                w.abort_at(AT + 3_000 * index, index as usize);
+            }
+            mute(w, &hosts, 40_000);
+            let heard = told(w, &began, AT, AT + 40_000);
+            vec![
+                ("mute with tasks", hosts.len() as u64),
+                ("cancelled there", heard),
+            ]
+        },
+    },
+    Meeting {
+        name: "most machines reach no controller for longer than a lease, then all do again",
+        controllers: 5,
+        lease_s: None,
+        play: |w| {
+            stream(w, AT - 10_000, AT + 25_000);
+            w.run_until(AT);
+            let hosts: Vec<HostId> = busy(w);
+            let hosts = &hosts[..hosts.len() * 3 / 4];
+            for index in 0..4 {
+                w.abort_at(AT + 4_000 * index, 2 * index as usize);
+            }
+            let before = w.cloud.deleted.len();
+            mute(w, hosts, 20_000);
+            let deleted = w.cloud.deleted.len() - before;
+            // They live, as their answers show: many at once are no reason to destroy. Two of a zone's
+            // machines tell nothing of their zone, and are replaced.
+            assert!(deleted <= 2, "{deleted} of {} deleted", hosts.len());
+            vec![
+                ("mute", hosts.len() as u64),
+                ("killed by their lease", w.machines.killed_by_lease),
+            ]
+        },
+    },
+    Meeting {
+        name: "jobs are cancelled within a fifth of a second and their machines hang, for all spans",
+        controllers: 5,
+        lease_s: None,
+        play: |w| {
+            // Around a report, a lease, a cancellation's time, and both.
+            let spans = [2_000, 9_000, 11_800, 12_500, 14_500, 24_000, 30_500, 45_000];
+            let (mut began, mut hung) = (HashSet::new(), 0);
+            for round in 0..2 {
+                w.run_until(AT - 8_000 + 20_000 * round);
+                let jobs: Vec<usize> = (0..7).map(|index| 2 * index + round as usize).collect();
+                let now = w.now;
+                for (index, job) in jobs.iter().enumerate() {
+                    w.abort_at(now + 28 * index as u64, *job);
+                }
+                let ids: HashSet<JobId> = jobs.iter().map(|job| w.jobs[*job].id()).collect();
+                began.extend(ids.intersection(&at_work(w)).cloned());
+                let on: HashSet<HostId> = {
+                    let present = w.machines.present(Millis(now));
+                    let its = present.filter(|(_, task)| ids.contains(&task.job));
+                    its.map(|(host, _)| host.clone()).collect()
+                };
+                let mut on: Vec<HostId> = on.into_iter().collect();
+                on.sort();
+                w.run_until(now + 60 + 40 * round);
+                for (host, span) in on.iter().zip(spans.iter().cycle().skip(3 * round as usize)) {
+                    w.machines.hosts.get_mut(host).unwrap().hung_until = Millis(now + span);
+                    hung += 1;
+                }
+            }
+            w.run_until(115_000);
+            vec![
+                ("machines of theirs that hang", hung),
+                ("cancelled", told(w, &began, AT - 8_000, 115_000)),
+            ]
+        },
+    },
+    Meeting {
+        name: "jobs bound to one zone, arrays too, lose machines, and some cannot be asked",
+        controllers: 5,
+        lease_s: None,
+        play: |w| {
+            (0..6).for_each(|index| w.submit(bound(index)));
+            let mut lost = 0;
+            for round in 0..3 {
+                w.run_until(16_000 + 14_000 * round);
+                let hosts = busy(w);
+                let its = |w: &World, host: &HostId| {
+                    let mut tasks = w.machines.hosts[host].tasks.keys();
+                    tasks.any(|task| task.job.as_str() >= "job-000100")
+                };
+                let hosts: Vec<HostId> = hosts.into_iter().filter(|host| its(w, host)).collect();
+                let now = w.now;
+                for (index, host) in hosts.iter().enumerate() {
+                    lost += 1;
+                    match (index + round as usize) % 3 {
+                        0 => w.machines.kill(host, Millis(now)),
+                        1 => {
+                            let machine = w.machines.hosts.get_mut(host).unwrap();
+                            machine.unreachable_until = Millis(now + 13_000);
+                        }
+                        _ => lost -= 1,
+                    }
+                }
+                let old = leader(w);
+                w.crash(old, now + 700, 400);
+            }
+            vec![("machines lost under them", lost)]
+        },
+    },
+    Meeting {
+        name: "reports are held back until a new leader has acted, and then arrive there",
+        controllers: 5,
+        lease_s: None,
+        play: |w| {
+            let mut arrived = 0;
+            for round in 0..3 {
+                w.run_until(25_000 + 28_000 * round);
+                let (old, began) = (leader(w), busy(w));
+                w.holds_reports.extend(began);
+                w.run_until(w.now + 1_700);
+                w.holds_reports.clear();
+                let now = w.now;
+                if round == 1 {
+                    w.cuts.push(alone(old, now / 1_000, 12, true));
+                } else {
+                    w.crash(old, now, 9_000);
+                }
+                for index in 0..4 {
+                    w.abort_at(now + 6_500 + 300 * index, (4 * round + index) as usize);
+                }
+                // A machine of which a report is on its way is no more, another begins anew.
+                w.kill_worker(round as usize);
+                w.run_until(now + 4_000);
+                w.reboot_worker(round as usize + 1, false);
+                w.run_until(now + 8_000);
+                if leader(w) != old {
+                    arrived += w.held_reports.len() as u64;
+                    let to = leader(w);
+                    w.let_reports_through(to);
+                }
+                w.run_until(now + 15_000);
+            }
+            vec![("reports that arrive at the new leader", arrived)]
+        },
+    },
+    Meeting {
+        name: "a team is at its limit when the leader changes, machines cannot be asked, jobs are cancelled",
+        controllers: 5,
+        lease_s: None,
+        play: |w| {
+            for index in 0..9 {
+                let mut plan = job(100 + index, "small", "sweep", 4, 1.0, 22_000);
+                plan.at = Some(4_000 + 500 * index as u64);
+                w.submit(plan);
+            }
+            w.run_until(AT);
+            let full = gpus_of(w, "small");
+            let (old, began) = (leader(w), at_work(w));
+            let hosts: Vec<HostId> = {
+                let present = w.machines.present(Millis(w.now));
+                let its = present.filter(|(_, task)| task.job.as_str() >= "job-000100");
+                its.map(|(host, _)| host.clone()).collect()
+            };
+            for host in hosts.iter().step_by(2) {
+                w.machines.hosts.get_mut(host).unwrap().unreachable_until = Millis(AT + 18_000);
+            }
+            w.crash(old, AT + 300, 6_000);
+            for index in 14..20 {
+                w.abort_at(AT + 2_000 + 900 * (index - 14), index as usize);
+            }
+            w.run_until(AT + 18_000);
+            let cancelled = told(w, &began, AT, AT + 18_000);
+            // Once all is heard again the team has its whole limit within seconds.
+            let mut again = 0;
+            while w.now < AT + 30_000 && again == 0 {
+                w.run_until(w.now + 100);
+                again = u64::from(gpus_of(w, "small") >= 6.0);
+            }
+            vec![
+                ("at its limit", u64::from(full >= 6.0)),
+                ("cancelled meanwhile", cancelled),
+                ("at its limit again", again),
+            ]
+        },
+    },
+    Meeting {
+        name: "the leader's zone is cut off for longer than a lease, and jobs are cancelled outside",
+        controllers: 5,
+        lease_s: None,
+        play: |w| {
+            w.run_until(AT);
+            let zone = w.settings[leader(w)].zone.clone();
+            let inside: Vec<HostId> = {
+                let hosts = w.machines.hosts.iter();
+                let inside = hosts.filter(|(_, m)| m.zone == zone);
+                inside.map(|(host, _)| host.clone()).collect()
+            };
+            let began = jobs_on(w, &inside);
+            w.zone_cuts.push(ZoneCut {
+                zone,
+                since: AT,
+                until: AT + 32_000,
+                hold: true,
+            });
+            for index in 0..8 {
+                w.abort_at(AT + 5_000 + 3_000 * index, index as usize);
+            }
+            w.run_until(AT + 31_000);
+            let asked = began
+                .iter()
+                .filter(|id| w.rules.wanted_aborts.contains_key(*id));
+            vec![
+                ("with tasks inside", began.len() as u64),
+                ("cancelled outside", asked.count() as u64),
+            ]
+        },
+    },
+    Meeting {
+        name: "there is more work than room, urgent and not, over slow links, and jobs are cancelled",
+        controllers: 5,
+        lease_s: None,
+        play: |w| {
+            w.slow_links = Some(100..1_900);
+            for index in 0..18 {
+                let shape = ["sweep", "gang", "sweep"][index % 3];
+                let mut plan = job(100 + index, "large", shape, 5, 1.0, 20_000);
+                plan.at = Some(4_000 + 1_200 * index as u64);
+                if index % 5 == 0 {
+                    plan.body["rank"] = "best_effort".into();
+                }
+                w.submit(plan);
+            }
+            for index in 0..12 {
+                w.abort_at(12_000 + 2_700 * index, 2 * index as usize);
+            }
+            let mut full = false;
+            while w.now < AT {
+                w.run_until(w.now + 500);
+                let room = w.machines.sound(Millis(w.now)).map(|(_, room)| room.gpus);
+                full |= w.now > 20_000 && room.sum::<f64>() < 4.0;
+            }
+            let began = at_work(w);
+            let waiting = w.rules.accepted.difference(&began).count() as u64;
+            w.run_until(110_000);
+            vec![("full", u64::from(full)), ("jobs that waited", waiting)]
+        },
+    },
+];
