A machine that answers and can't report is no room, is left in time, and held if many

Cause: an answer to a direct command counted as a sign of life and as proof that the machine hears, so mute machines got work by /do again and again, which died with their leases.

--- /dev/null
+++ b/src/controller/contact/mod.rs
@@ -0,0 +1,181 @@
+//! Machines that are in contact one way only: those that speak and are not proved to hear, and those that
+//! hear and can't report. The first are asked; the second are left before their lease is over.
+
+use super::Controller;
+use super::Effect;
+use crate::jobs::Shape;
+use crate::types::{HostId, Millis, TaskId, Token};
+use crate::workers::reconcile::Stop;
+use crate::workers::wire::{Order, TaskStage};
+
+/// A machine in doubt is asked this often.
+const ASK_EVERY: Millis = Millis(2_500);
+/// And only so many that fell silent in a second: most are dead, and hold a socket until that shows.
+const MOST_ASKED: usize = 32;
+/// A new holder's machines have found it after so long.
+const FOUND: Millis = Millis(10_000);
+/// What a stop needs to reach a machine and its answer us, beyond the saving itself.
+const TO_STOP: Millis = Millis(7_000);
+
+impl Controller {
+    /// Whether a machine of ours has not reported for so long that its worker must be unable to. What it
+    /// says to direct commands renews no lease.
+    pub(super) fn is_mute(&self, host: &HostId) -> bool {
+        self.machines.get(host).is_some_and(|machine| {
+            let took = self.moved.get(&machine.block).copied().unwrap_or_default();
+            let silent = self.now.since(machine.reported) > self.silence();
+            silent && self.now.since(took) > FOUND
+        })
+    }
+
+    /// Asks machines of ours that fell silent whether they are there all the same.
+    pub(super) fn ask_silent(&mut self) {
+        let (now, silence) = (self.now, self.silence());
+        let silent = self.machines.values().filter(|m| {
+            let ours = self.token_for(&m.block) == Some(m.baton.token());
+            let since = now.since(m.heard);
+            ours && since > silence
+                && since < super::reports::FORGET
+                && !m.hearing.doubtful(now, silence)
+                && now.since(m.direct.asked) >= ASK_EVERY
+        });
+        let silent: Vec<HostId> = silent.map(|m| m.host.clone()).take(MOST_ASKED).collect();
+        for host in silent {
+            self.ask(&host);
+        }
+    }
+
+    /// A machine can't report, so its lease runs out: what was not begun there is placed elsewhere at once,
+    /// and what runs is saved while there is time for it.
+    pub(super) fn leave_mute(&mut self, host: &HostId) {
+        let Some(machine) = self.machines.get(host) else {
+            return;
+        };
+        let lease = Millis::from_secs(self.settings.deployment.workers.lease_s);
+        let left = (machine.reported + lease).since(self.now);
+        let here: Vec<TaskId> = self
+            .jobs
+            .on_host(host)
+            .map(|(id, index)| TaskId {
+                job: id.clone(),
+                index: *index,
+            })
+            .collect();
+        let mut leaving = Vec::new();
+        for task in here {
+            let seen = machine.tasks.get(&task).map(|seen| seen.stage);
+            let Some(job) = self.jobs.get(&task.job) else {
+                continue;
+            };
+            let spec = &job.spec;
+            let last = Millis::from_secs(spec.save_s) + TO_STOP;
+            match seen {
+                None => leaving.push((task, false)),
+                Some(TaskStage::Running) if spec.checkpoint_s > 0.0 && left < last => {
+                    leaving.push((task, true));
+                }
+                Some(_) => {}
+            }
+        }
+        for (task, save) in leaving {
+            self.stop_with_its_gang(&task, save);
+        }
+    }
+
+    /// Has a task stopped where it was placed; of a gang all tasks, since they save together.
+    fn stop_with_its_gang(&mut self, task: &TaskId, save: bool) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let gang = job.spec.shape == Shape::Gang;
+        let stopped: Vec<_> = job
+            .placements()
+            .filter(|(index, _)| gang || *index == task.index)
+            .map(|(index, p)| (index, p.attempt))
+            .collect();
+        for (index, attempt) in stopped {
+            let job = task.job.clone();
+            self.stops
+                .insert(TaskId { job, index }, Stop { attempt, save });
+        }
+    }
+
+    /// The cloud takes the machine away: what can save its work is told to.
+    pub(super) fn drain_warned(&mut self, host: &HostId) {
+        let Some(machine) = self.machines.get(host).filter(|m| m.warned) else {
+            return;
+        };
+        let running: Vec<TaskId> = machine
+            .tasks
+            .iter()
+            .filter(|(_, seen)| seen.stage == TaskStage::Running)
+            .map(|(task, _)| task.clone())
+            .collect();
+        for task in running {
+            let job = self.jobs.get(&task.job);
+            if job.is_some_and(|job| job.spec.checkpoint_s > 0.0) {
+                self.stop_with_its_gang(&task, true);
+            }
+        }
+    }
+
+    /// Only stops go to a machine that can't report: what is started there dies with its lease.
+    pub(super) fn stop_on_mute(&mut self, host: &HostId, token: Token, mut orders: Vec<Order>) {
+        orders.retain(|order| matches!(order, Order::Stop { .. }));
+        if !orders.is_empty() && self.may_answer() {
+            self.send_direct(host, token, orders);
+        }
+    }
+
+    /// Shows our token to the machines of our blocks that have not seen it: until then they may
+    /// go on reporting to an earlier holder, who may not know that it is one. Asks those that speak
+    /// and are not proved to hear.
+    pub(super) fn fence(&mut self) {
+        let (now, silence) = (self.now, self.silence());
+        let unaware = self.machines.values().filter(|m| {
+            let token = self.token_for(&m.block);
+            let unaware = token.is_some_and(|token| m.baton < self.baton(token));
+            let due = now.since(m.direct.asked) >= ASK_EVERY;
+            unaware || token.is_some() && due && m.hearing.doubtful(now, silence)
+        });
+        let unaware: Vec<HostId> = unaware.map(|m| m.host.clone()).collect();
+        for host in unaware {
+            self.ask(&host);
+        }
+    }
+
+    /// Sends a machine of ours nothing but our token. Its answer is new, and proves that it hears.
+    pub(super) fn ask(&mut self, host: &HostId) {
+        let token = self.machines.get(host).map(|m| self.token_for(&m.block));
+        if let Some(Some(token)) = token {
+            self.send_direct(host, token, Vec::new());
+        }
+    }
+
+    /// Sends a machine orders that start nothing, unless an exchange is under way.
+    fn send_direct(&mut self, host: &HostId, token: Token, orders: Vec<Order>) {
+        let baton = self.baton(token);
+        let gone = self.fleet.gone.contains(host);
+        let machine = self.machines.get_mut(host);
+        let Some(machine) = machine.filter(|m| !m.direct.busy && !gone) else {
+            return;
+        };
+        let Some(address) = machine.address else {
+            return;
+        };
+        machine.direct.busy = true;
+        machine.direct.asked = self.now;
+        machine.direct.sent.clear();
+        let (host, session) = (host.clone(), machine.session);
+        self.effects.push(Effect::Direct {
+            host,
+            address,
+            baton,
+            session,
+            orders,
+        });
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/controller/contact/tests.rs
@@ -0,0 +1,152 @@
+use serde_json::json;
+
+use crate::controller::committing::tests::controller;
+use crate::controller::{Controller, DirectAnswer, Effect};
+use crate::jobs::api::{parse, tests::body};
+use crate::jobs::record::{JobRecord, job_key};
+use crate::jobs::{Phase, Placement, Shape, Task};
+use crate::types::{Attempt, Baton, BlockId, HostId, JobId, Millis, Revision, Session, Token};
+use crate::workers::Machine;
+use crate::workers::wire::{Order, Report};
+
+const HOST: &str = "vm-2";
+/// When its last report came.
+const REPORTED: u64 = 60_000;
+
+fn report(id: &JobId, tally: u64, stages: &[&str]) -> Report {
+    let picks = stages
+        .iter()
+        .enumerate()
+        .map(|(index, stage)| json!({"pick": format!("{id}/{index}"), "try": 1, "stage": stage}));
+    let report = json!({"host": HOST, "address": "10.0.0.9:1", "rig": "g8", "yard": "a",
+        "loaners": false, "shift": 1, "tally": tally, "baton": Baton::of(Token(5)),
+        "picks": picks.collect::<Vec<_>>()});
+    serde_json::from_value(report).unwrap()
+}
+
+/// An array of two tasks on a machine that reported, with the first running and the second not begun.
+fn reported() -> (Controller, JobId) {
+    let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+    (spec.shape, spec.tasks) = (Shape::Array, 2);
+    let here = Task::Placed(Placement {
+        host: HOST.into(),
+        block: BlockId::parse("a.0").unwrap(),
+        session: Session(1),
+        attempt: Attempt(1),
+    });
+    let (mut controller, id) = controller(spec, vec![here.clone(), here]);
+    let block = BlockId::parse("a.0").unwrap();
+    let (host, rig, zone) = (HostId::from(HOST), "g8".into(), "a".into());
+    let mut machine = Machine::new(host.clone(), rig, zone, false, block, "n0".into());
+    machine.hearing.prove();
+    controller.machines.insert(host, machine);
+    controller.now = Millis(REPORTED);
+    controller.last_report = controller.now;
+    controller.answer_report(report(&id, 1, &["running"]));
+    let machine = controller.machines.get_mut(&HostId::from(HOST)).unwrap();
+    machine.hearing.prove();
+    machine.direct.busy = false;
+    // What rode on the answer was dropped.
+    machine.direct.riding.clear();
+    controller.effects.clear();
+    (controller, id)
+}
+
+fn answers(controller: &mut Controller, report: Report, at: u64) {
+    controller.now = Millis(at);
+    let answer = DirectAnswer {
+        report: Some(report),
+    };
+    controller.on_direct(&HostId::from(HOST), Some(answer));
+}
+
+/// Orders that were sent to the machine since.
+fn sent(controller: &mut Controller) -> Vec<Order> {
+    let effects = std::mem::take(&mut controller.effects).into_iter();
+    let orders = effects.filter_map(|effect| match effect {
+        Effect::Direct { orders, .. } => Some(orders),
+        _ => None,
+    });
+    orders.flatten().collect()
+}
+
+/// Machines that answered direct commands, and could not report, were given tasks by such commands again and
+/// again: all of them died with the worker's lease.
+#[test]
+fn what_answers_and_can_not_report_is_no_room() {
+    let silence = reported().0.silence().0;
+    for (after, block_taken, room) in [
+        (silence, 0, true),
+        (silence + 1, 0, false),
+        // A holder that came just now may not have been found yet.
+        (silence + 1, REPORTED, true),
+        (silence + 12_000, REPORTED, false),
+    ] {
+        let (mut controller, id) = reported();
+        let block = BlockId::parse("a.0").unwrap();
+        controller.moved.insert(block, Millis(block_taken));
+        answers(
+            &mut controller,
+            report(&id, 2, &["running"]),
+            REPORTED + after,
+        );
+        let fit = controller.ours(&controller.machines[&HostId::from(HOST)]);
+        let case = format!("{after} ms after, the block taken at {block_taken}");
+        assert_eq!(fit, room, "{case}");
+        // Its next report makes it sound again, once it has answered what is asked then.
+        let (now, host) = (controller.now, HostId::from(HOST));
+        controller.answer_report(report(&id, 3, &["running"]));
+        answers(&mut controller, report(&id, 4, &["running"]), now.0 + 10);
+        assert!(controller.ours(&controller.machines[&host]), "{case}");
+    }
+}
+
+#[test]
+fn a_mute_machine_is_left_before_its_lease_is_over() {
+    let lease = Millis::from_secs(reported().0.settings.deployment.workers.lease_s).0;
+    let silence = reported().0.silence().0;
+    let running = &["running"][..];
+    let cases = [
+        // cancelled, after so many ms; stops of the running task, whether the other is given up
+        (false, silence, 0, false),
+        (false, silence + 1, 0, true),
+        (false, lease - 3_000, 1, true),
+        (true, silence + 1, 1, true),
+    ];
+    for (cancelled, after, stops, given_up) in cases {
+        let (mut controller, id) = reported();
+        controller.moved.clear();
+        if cancelled {
+            let record = JobRecord {
+                phase: Phase::Aborting,
+                ..controller.jobs.get(&id).unwrap().record.clone()
+            };
+            let text = serde_json::to_string(&record).unwrap();
+            controller.feed(&job_key(&id), Some(&text), Revision(20));
+            controller.effects.clear();
+        }
+        answers(&mut controller, report(&id, 2, running), REPORTED + after);
+        let sent = sent(&mut controller);
+        let case = format!("cancelled {cancelled}, after {after} ms: {sent:?}");
+        let stop = |order: &&Order| matches!(order, Order::Stop { task, .. } if task.index == 0);
+        assert_eq!(sent.iter().filter(stop).count(), stops, "{case}");
+        let starts = |order: &Order| matches!(order, Order::Start { .. });
+        assert!(!sent.iter().any(starts), "{case}");
+        let changes = &controller.jobs.get(&id).unwrap().changes;
+        assert_eq!(changes.contains_key(&1), given_up, "{case}");
+        assert!(!changes.contains_key(&0), "{case}");
+    }
+}
+
+/// Silence tells nothing of why: who is there all the same shows it when it is asked.
+#[test]
+fn machines_that_fell_silent_are_asked() {
+    for (after, asked) in [(1, false), (2, true)] {
+        let (mut controller, _) = reported();
+        controller.now = Millis(REPORTED + controller.silence().0 - 1 + after);
+        controller.ask_silent();
+        let sent = controller.effects.iter();
+        let asks = |effect: &&Effect| matches!(effect, Effect::Direct { .. });
+        assert_eq!(sent.filter(asks).count(), usize::from(asked), "{after}");
+    }
+}
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -5,6 +5,7 @@
 mod admitting;
 mod cancelling;
 mod committing;
+mod contact;
 mod fleet_keeping;
 mod membership;
 mod nested;
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -28,7 +28,7 @@
 /// What another controller said holds for this long.
 const WORD_HOLDS: Millis = Millis(3_000);
 /// A machine without tasks that nobody has heard for this long is forgotten.
-const FORGET: Millis = Millis(120_000);
+pub(super) const FORGET: Millis = Millis(120_000);
 
 /// How long a machine has been silent, and its block in the same hands.
 pub(super) struct Silence {
@@ -213,6 +213,7 @@
             obeyed: machine.obeyed(&report),
         };
         machine.hearing.reported(said, lease, now);
+        machine.reported = now;
         machine.take_in(&report, now, &me);
         machine.note_aware(token, now);
         let ask = !machine.hearing.proved();
@@ -317,6 +318,7 @@
             machine.direct.loose.remove(&start);
         }
         let block = machine.block.clone();
+        let mute = self.is_mute(host);
         if let (Some(report), Some(token)) = (answer.report, self.token_for(&block))
             && let Some(machine) = self.machines.get_mut(host)
             && report.host == *host
@@ -324,7 +326,11 @@
             && machine.newer(report.shift, report.tally)
         {
             let was_fit = machine.fit(now, silence) && machine.baton.token() >= token;
-            machine.hearing.prove();
+            if mute {
+                machine.hearing.mute(now);
+            } else {
+                machine.hearing.prove();
+            }
             if report.shift != machine.session {
                 // The lease of a session that we did not know of runs from when it began, not from
                 // when we answered a report last.
@@ -337,7 +343,13 @@
                 if machine.fit(now, silence) && !was_fit {
                     self.wake(queue::Event::Machine(host.clone()));
                 }
-                self.see_to(host, token);
+                if mute {
+                    self.leave_mute(host);
+                }
+                let orders = self.see_to(host, token);
+                if mute {
+                    self.stop_on_mute(host, token, orders);
+                }
             }
         }
         if again {
@@ -366,7 +378,7 @@
     }
 
     /// Compares a machine's newest report with the records.
-    fn see_to(&mut self, host: &HostId, token: Token) -> Vec<Order> {
+    pub(super) fn see_to(&mut self, host: &HostId, token: Token) -> Vec<Order> {
         self.note_images(host);
         self.drain_warned(host);
         let Some(machine) = self.machines.get(host) else {
@@ -443,39 +455,6 @@
         }
     }
 
-    /// The cloud takes the machine away: what can save its work is told to.
-    fn drain_warned(&mut self, host: &HostId) {
-        let Some(machine) = self.machines.get(host).filter(|m| m.warned) else {
-            return;
-        };
-        let running: Vec<TaskId> = machine
-            .tasks
-            .iter()
-            .filter(|(_, seen)| seen.stage == TaskStage::Running)
-            .map(|(task, _)| task.clone())
-            .collect();
-        for task in running {
-            let Some(job) = self.jobs.get(&task.job) else {
-                continue;
-            };
-            if job.spec.checkpoint_s <= 0.0 {
-                continue;
-            }
-            let gang = job.spec.shape == Shape::Gang;
-            let stopped: Vec<_> = job
-                .placements()
-                .filter(|(index, _)| gang || *index == task.index)
-                .map(|(index, p)| (index, p.attempt))
-                .collect();
-            for (index, attempt) in stopped {
-                let job = task.job.clone();
-                let save = true;
-                self.stops
-                    .insert(TaskId { job, index }, Stop { attempt, save });
-            }
-        }
-    }
-
     /// Stops replicas on machines that are being emptied, if another machine has room for them and
     /// their image, so that they run again at once.
     fn move_replicas(&mut self) {
@@ -521,47 +500,6 @@
         }
     }
 
-    /// Shows our token to the machines of our blocks that have not seen it: until then they may
-    /// go on reporting to an earlier holder, who may not know that it is one. Asks those that speak
-    /// and are not proved to hear.
-    pub(super) fn fence(&mut self) {
-        let (now, silence) = (self.now, self.silence());
-        let unaware = self.machines.values().filter(|m| {
-            let token = self.token_for(&m.block);
-            let unaware = token.is_some_and(|token| m.baton < self.baton(token));
-            unaware || token.is_some() && m.hearing.doubtful(now, silence)
-        });
-        let unaware: Vec<HostId> = unaware.map(|m| m.host.clone()).collect();
-        for host in unaware {
-            self.ask(&host);
-        }
-    }
-
-    /// Sends a machine of ours nothing but our token. Its answer is new, and proves that it hears.
-    fn ask(&mut self, host: &HostId) {
-        let Some(machine) = self.machines.get(host) else {
-            return;
-        };
-        let (Some(address), Some(token)) = (machine.address, self.token_for(&machine.block)) else {
-            return;
-        };
-        if machine.direct.busy || self.fleet.gone.contains(host) {
-            return;
-        }
-        let (baton, session, host) = (self.baton(token), machine.session, host.clone());
-        if let Some(machine) = self.machines.get_mut(&host) {
-            machine.direct.busy = true;
-            machine.direct.sent.clear();
-        }
-        self.effects.push(Effect::Direct {
-            host,
-            address,
-            baton,
-            session,
-            orders: Vec::new(),
-        });
-    }
-
     /// Once in a while: leases of workers that ran out by our own clock, stops that are over, and
     /// machines that are no more.
     pub(super) fn notice_silence(&mut self) {
@@ -570,6 +508,7 @@
         }
         self.swept = self.now;
         self.fence();
+        self.ask_silent();
         // The worker's clock may be slower than ours, and its timers late.
         let lease_s = self.settings.deployment.workers.lease_s;
         let lease = Millis::from_secs(lease_s * 1.002 + 1.5);
--- a/src/workers/hearing.rs
+++ b/src/workers/hearing.rs
@@ -46,6 +46,12 @@
         self.misses = 0;
     }
 
+    /// It answers what we send, and can't report: its lease runs out, as if it heard nothing.
+    pub fn mute(&mut self, now: Millis) {
+        self.proved = false;
+        self.spoke = now;
+    }
+
     /// Its holder says so.
     pub fn told(&mut self, proved: bool, now: Millis) {
         self.proved = proved;
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -52,6 +52,8 @@
     pub aware: Option<(Token, Millis)>,
     /// When anybody last heard from the worker, and could take that for a sign of life.
     pub heard: Millis,
+    /// When a report of its came last, and not only an answer to direct commands.
+    pub reported: Millis,
     pub hearing: Hearing,
     /// Who heard.
     pub heard_by: NodeId,
@@ -78,6 +80,8 @@
 pub struct Direct {
     /// An exchange is under way.
     pub busy: bool,
+    /// When we last asked for a sign of life.
+    pub asked: Millis,
     /// More came up meanwhile.
     pub again: bool,
     /// Starts that were sent under this token and session and got no answer. The network may
@@ -151,6 +155,7 @@
             answered: None,
             aware: None,
             heard: Millis(0),
+            reported: Millis(0),
             hearing: Hearing::default(),
             heard_by: by,
             tasks: BTreeMap::new(),
--- a/src/zones/silence.rs
+++ b/src/zones/silence.rs
@@ -30,7 +30,7 @@
     /// Machines of which somebody can tell whether they are silent.
     pub machines: u32,
     pub silent: u32,
-    /// Machines that speak, and are not proved to hear for long.
+    /// Machines that speak and are not proved to hear, or that hear and can't report, for long.
     pub deaf: u32,
     /// The zone has controllers, and none of them is in contact.
     pub controllers_silent: bool,
@@ -103,9 +103,10 @@
         let silent = f64::from(seen.silent) / f64::from(seen.machines);
         let was = state.standing;
         let deaf = f64::from(seen.deaf) / f64::from(seen.machines);
-        // Many that speak and do not hear are no dead machines: it is the way to them.
+        // Many that are there, and in contact one way only, are no dead machines: it is the way to them.
+        let many = seen.deaf as usize >= LEAST || seen.deaf >= FEW && deaf >= CUT.1;
         let cut = over(silent, CUT, was == Standing::CutOff) && seen.controllers_silent
-            || seen.deaf as usize >= LEAST && over(deaf, PART, was == Standing::CutOff);
+            || many && over(deaf, PART, was == Standing::CutOff);
         let part = over(silent, PART, was != Standing::Sound);
         let next = match (was, cut, part) {
             (_, true, _) => Standing::CutOff,
@@ -243,9 +244,14 @@
                 vec![PartlyLost, PartlyLost, Sound],
             ),
         ];
-        // Machines that speak and do not hear: a few are replaced, many are a cut.
-        for (machines, deaf, expected) in [(4, 2, PartlyLost), (100, 20, Sound), (100, 30, CutOff)]
-        {
+        // Machines in contact one way only: a few are replaced, many are a cut, and in a small zone most.
+        for (machines, deaf, expected) in [
+            (4, 2, PartlyLost),
+            (5, 3, CutOff),
+            (7, 3, PartlyLost),
+            (100, 20, Sound),
+            (100, 30, CutOff),
+        ] {
             let mut zones = Zones::default();
             let observed = Seen {
                 deaf,
