Odd requests: fields are named, a known job is never refused, what can't be whole is told

A repeated submission of a known job got 400 or 422 if its body or the settings had changed, also from a controller whose cache was behind. A refusal now waits for the proof of freshness that a poll waits for. Errors of type name their field. A gang or service that has to spread and may be in one zone only can never run whole: 422 instead of waiting for ever. The tests of submissions moved to a file of their own.

--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -529,7 +529,10 @@
 
     /// Whether a user's question was asked so long ago that its proof tells of the past.
     fn came_too_late(&self, asked: Millis, after: &After) -> bool {
-        let of_user = matches!(after, After::State { .. } | After::Abort { .. });
+        let of_user = matches!(
+            after,
+            After::State { .. } | After::Refuse { .. } | After::Abort { .. }
+        );
         of_user && self.now.since(asked) > PROOF_HOLDS
     }
 
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -29,7 +29,7 @@
 use crate::admission::backlog::Backlog;
 use crate::admission::shared::Shared;
 use crate::fleet::{CloudAnswer, CloudCall, Flavor, Fleet};
-use crate::jobs::api::{Refusal, Response};
+use crate::jobs::api::{Refusal, Refused, Response};
 use crate::jobs::cache::Jobs;
 use crate::jobs::cancel::Cancelling;
 use crate::jobs::ends::Ends;
@@ -78,7 +78,7 @@
     },
     Submit {
         reply: ReplyId,
-        submission: Result<(JobId, Spec), Refusal>,
+        submission: Result<(JobId, Spec), Refused>,
     },
     Poll {
         reply: ReplyId,
@@ -209,6 +209,12 @@
         reply: ReplyId,
         job: JobId,
     },
+    /// Refuse a submission, unless its job is known after all.
+    Refuse {
+        reply: ReplyId,
+        job: JobId,
+        why: Refusal,
+    },
     Abort {
         reply: ReplyId,
         job: JobId,
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use super::{After, Controller, Effect, Purpose};
-use crate::jobs::api::{self, Refusal, Response, is_final};
+use crate::jobs::api::{self, Refusal, Refused, Response, is_final};
 use crate::jobs::record::{JobRecord, job_key, page_size};
 use crate::jobs::{Phase, Rank, Spec};
 use crate::store::{Answer, Class, Txn};
@@ -17,16 +17,14 @@
         self.effects.push(Effect::User { reply, response });
     }
 
-    pub(super) fn on_submit(&mut self, reply: ReplyId, submission: Result<(JobId, Spec), Refusal>) {
+    pub(super) fn on_submit(&mut self, reply: ReplyId, submission: Result<(JobId, Spec), Refused>) {
         let (id, spec) = match submission {
             Ok(submission) => submission,
-            Err(refusal) => return self.tell(reply, refusal.into()),
+            Err(Refused { id: Some(id), why }) => return self.refuse(reply, id, why),
+            Err(Refused { id: None, why }) => return self.tell(reply, why.into()),
         };
-        match self.jobs.state(&id) {
-            // An end is final, whoever tells it.
-            Some(state) if is_final(&state) => return self.tell(reply, Response::State(state)),
-            Some(_) => return self.ask_fresh(After::State { reply, job: id }),
-            None => {}
+        if self.jobs.state(&id).is_some() {
+            return self.on_poll(reply, id);
         }
         if !self.synced || self.flavors.is_empty() || self.without_store() > STORE_LOST {
             return self.tell(reply, Response::Later(2));
@@ -37,7 +35,7 @@
         }
         let spec = match api::admit(spec, &self.settings, &self.flavors) {
             Ok(spec) => spec,
-            Err(refusal) => return self.tell(reply, refusal.into()),
+            Err(why) => return self.refuse(reply, id, why),
         };
         let (class, urgent) = (self.flows.of(&spec).class, spec.rank >= Rank::Urgent);
         let (pending, luck) = (self.submitting.len(), self.rng.random());
@@ -68,6 +66,15 @@
         self.transact(Class::Submissions, txn, Purpose::Submit { job: id });
     }
 
+    /// A job that was accepted once is never refused, whatever has changed since in its body or the settings:
+    /// nobody is refused by a cache that may be behind.
+    fn refuse(&mut self, reply: ReplyId, job: JobId, why: Refusal) {
+        if self.jobs.state(&job).is_some() {
+            return self.on_poll(reply, job);
+        }
+        self.ask_fresh(After::Refuse { reply, job, why });
+    }
+
     pub(super) fn on_submitted(&mut self, id: JobId, answer: Answer) {
         let replies = self.submitting.remove(&id).unwrap_or_default();
         for reply in replies {
@@ -114,6 +121,10 @@
                     .map_or(Response::Unknown, Response::State);
                 self.tell(reply, response);
             }
+            After::Refuse { reply, job, why } => {
+                let state = self.jobs.state(&job).map(Response::State);
+                self.tell(reply, state.unwrap_or(why.into()));
+            }
             After::Abort { reply, job } => match self.jobs.state(&job) {
                 None => self.tell(reply, Response::Unknown),
                 Some(state) if is_final(&state) => self.tell(reply, Response::State(state)),
@@ -126,7 +137,9 @@
 
     pub(super) fn not_proved(&mut self, after: After) {
         match after {
-            After::State { reply, job } | After::Abort { reply, job } => {
+            After::State { reply, job }
+            | After::Refuse { reply, job, .. }
+            | After::Abort { reply, job } => {
                 tracing::debug!(%job, "can't tell how new the cache is");
                 self.tell(reply, Response::later());
             }
@@ -136,3 +149,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/controller/users/tests.rs
@@ -0,0 +1,150 @@
+use serde_json::{Value, json};
+
+use crate::controller::committing::tests::controller;
+use crate::controller::{Controller, Effect};
+use crate::jobs::api::{Response, Stage, parse, tests::body};
+use crate::jobs::record::{JobRecord, job_key};
+use crate::jobs::{Phase, Task};
+use crate::types::{JobId, Millis, ReplyId, Revision};
+
+/// A controller that knows `job-1`, of one task, in a phase.
+fn knowing(phase: Phase) -> Controller {
+    let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+    spec.tasks = 1;
+    let (mut controller, id) = controller(spec, vec![Task::FRESH]);
+    let record = JobRecord {
+        phase,
+        ..controller.jobs.get(&id).unwrap().record.clone()
+    };
+    let text = serde_json::to_string(&record).unwrap();
+    controller.feed(&job_key(&id), Some(&text), Revision(20));
+    (controller.now, controller.store_heard) = (Millis(1_000), Millis(1_000));
+    controller.effects.clear();
+    controller
+}
+
+fn submit(controller: &mut Controller, job: &Value) {
+    let submission = parse(job.to_string().as_bytes());
+    controller.on_submit(ReplyId(7), submission);
+}
+
+fn told(controller: &mut Controller) -> Option<Response> {
+    let effects = std::mem::take(&mut controller.effects).into_iter();
+    let mut told = effects.filter_map(|effect| match effect {
+        Effect::User { response, .. } => Some(response),
+        _ => None,
+    });
+    told.next()
+}
+
+/// The cache is proved to be as new as all that was asked.
+fn prove(controller: &mut Controller) {
+    for (_, after) in std::mem::take(&mut controller.fresh.next) {
+        controller.go_on(after);
+    }
+    for (_, after) in std::mem::take(&mut controller.fresh.watched) {
+        controller.go_on(after);
+    }
+    for (_, after) in std::mem::take(&mut controller.fresh.current) {
+        controller.go_on(after);
+    }
+}
+
+/// What an accepted job's user sends again is answered with its state, whatever is odd in it.
+#[test]
+fn a_job_that_is_known_is_never_refused() {
+    let odd = [
+        ("nothing", json!({})),
+        ("a field's type", json!({"picks": "many"})),
+        ("a field that is null", json!({"kit": null})),
+        ("a team that is no more", json!({"crew": "nobody"})),
+        ("a type that is no more", json!({"rigs": ["g0"]})),
+        ("more than any machine has", json!({"vcpus": 9000.0})),
+    ];
+    for (phase, stage) in [
+        (Phase::Active, Stage::Queued),
+        (Phase::Aborting, Stage::Queued),
+        (Phase::Done, Stage::Done),
+        (Phase::Aborted, Stage::Aborted),
+    ] {
+        for (what, changes) in &odd {
+            let mut controller = knowing(phase);
+            let mut job = body();
+            job["id"] = "job-1".into();
+            for (field, value) in changes.as_object().unwrap() {
+                job[field] = value.clone();
+            }
+            submit(&mut controller, &job);
+            let at_once = told(&mut controller);
+            prove(&mut controller);
+            let answer = at_once.or(told(&mut controller));
+            let Some(Response::State(state)) = answer else {
+                panic!("{phase:?}, {what}: {answer:?}");
+            };
+            assert_eq!(state.stage, stage, "{phase:?}, {what}");
+        }
+    }
+}
+
+/// A controller that is behind may not know a job yet that another has accepted.
+#[test]
+fn nobody_is_refused_by_a_cache_that_may_be_behind() {
+    let unknown = |field: &str, value: Value| {
+        let mut job = body();
+        job["id"] = "job-9".into();
+        job[field] = value;
+        job
+    };
+    let (malformed, never) = (
+        unknown("picks", json!("many")),
+        unknown("crew", json!("nobody")),
+    );
+    for (job, status) in [(&malformed, 400), (&never, 422)] {
+        for (accepted, away) in [(false, false), (true, false), (false, true)] {
+            let mut controller = knowing(Phase::Active);
+            if away {
+                controller.now = Millis(9_000);
+            }
+            submit(&mut controller, job);
+            let at_once = told(&mut controller);
+            if accepted {
+                let known = JobId::from("job-1");
+                let record = &controller.jobs.get(&known).unwrap().record;
+                let text = serde_json::to_string(record).unwrap();
+                controller.feed(&job_key(&"job-9".into()), Some(&text), Revision(30));
+                controller.effects.clear();
+            }
+            prove(&mut controller);
+            let later = told(&mut controller);
+            let case = format!("{status}, accepted {accepted}, away {away}");
+            assert_eq!(at_once.is_some(), away, "{case}: {at_once:?}");
+            match at_once.or(later).expect("an answer") {
+                Response::Later(_) => assert!(away, "{case}"),
+                Response::State(_) => assert!(accepted, "{case}"),
+                Response::Malformed(_) => assert!(status == 400 && !accepted, "{case}"),
+                Response::NeverRuns(_) => assert!(status == 422 && !accepted, "{case}"),
+                other => panic!("{case}: {other:?}"),
+            }
+        }
+    }
+}
+
+/// Cancelling what is done is answered with `done`, what was never submitted with 404.
+#[test]
+fn odd_cancellations_are_answered_by_what_is_known() {
+    for (phase, id, expected) in [
+        (Phase::Done, "job-1", Some(Stage::Done)),
+        (Phase::Aborted, "job-1", Some(Stage::Aborted)),
+        (Phase::Done, "job-9", None),
+        (Phase::Done, "no job's id", None),
+    ] {
+        let mut controller = knowing(phase);
+        controller.on_abort(ReplyId(3), id.into());
+        prove(&mut controller);
+        match told(&mut controller) {
+            Some(Response::State(state)) => assert_eq!(Some(state.stage), expected, "{id}"),
+            Some(Response::Unknown) => assert_eq!(expected, None, "{phase:?} {id}"),
+            other => panic!("{phase:?} {id}: {other:?}"),
+        }
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -14,7 +14,7 @@
 use crate::http_server;
 use crate::intake::{Intake, Kind};
 use crate::jobs::Spec;
-use crate::jobs::api::{Refusal, Response};
+use crate::jobs::api::{Refused, Response};
 use crate::peers::link::{PeerMessage, Peers};
 use crate::settings::Settings;
 use crate::sockets::{Budget, Patience};
@@ -28,7 +28,7 @@
 /// What the HTTP server asks of the controller.
 pub enum Request {
     Submit {
-        submission: Result<(JobId, Spec), Refusal>,
+        submission: Result<(JobId, Spec), Refused>,
         reply: oneshot::Sender<Response>,
     },
     Poll {
--- a/src/jobs/api.rs
+++ b/src/jobs/api.rs
@@ -1,5 +1,7 @@
 //! The users' interface: what submissions must look like, and the answers.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
 use super::{Rank, Shape, Spec};
@@ -54,14 +56,48 @@
     NeverRuns(String),
 }
 
-/// Reads a submission; `Malformed` names the first thing that is wrong.
-pub fn parse(body: &[u8]) -> Result<(JobId, Spec), Refusal> {
-    let malformed = |reason: &str| Refusal::Malformed(reason.to_string());
+/// A submission that is not taken, and the job that it is about if that could be read: one that is known
+/// is answered with its state, whatever else its user sends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refused {
+    pub id: Option<JobId>,
+    pub why: Refusal,
+}
+
+#[derive(Deserialize)]
+struct OnlyId {
+    id: String,
+}
+
+/// Reads a submission; a refusal names the first field that is wrong.
+pub fn parse(body: &[u8]) -> Result<(JobId, Spec), Refused> {
     if body.len() > LARGEST_BODY {
-        return Err(malformed("the body is larger than 64 KiB"));
+        let why = Refusal::Malformed("the body is larger than 64 KiB".into());
+        return Err(Refused { id: None, why });
     }
-    let b: SubmitBody =
-        serde_json::from_slice(body).map_err(|e| Refusal::Malformed(e.to_string()))?;
+    read(body).map_err(|why| {
+        let id = serde_json::from_slice::<OnlyId>(body).ok().map(|b| b.id);
+        let id = id.filter(|id| JobId::well_formed(id));
+        Refused {
+            id: id.map(|id| id.as_str().into()),
+            why,
+        }
+    })
+}
+
+fn read(body: &[u8]) -> Result<(JobId, Spec), Refusal> {
+    let malformed = |reason: &str| Refusal::Malformed(reason.to_string());
+    let mut json = serde_json::Deserializer::from_slice(body);
+    let b: SubmitBody = serde_path_to_error::deserialize(&mut json).map_err(|e| {
+        let field = e.path().to_string();
+        let reason = e.into_inner().to_string();
+        // A field that is missing or doubled is named by the reason.
+        Refusal::Malformed(match field.as_str() {
+            "." => reason,
+            field => format!("{field}: {reason}"),
+        })
+    })?;
+    json.end().map_err(|e| Refusal::Malformed(e.to_string()))?;
     if !JobId::well_formed(&b.id) {
         return Err(malformed("id: must be job- and digits"));
     }
@@ -132,12 +168,17 @@
         rigs.retain(|rig| flavors.iter().any(|f| f.sku == *rig));
         rigs.dedup();
     }
-    let fits = flavors.iter().any(|f| {
-        f.zones.iter().any(|zone| spec.allows(&f.sku, zone, false)) && spec.room.fits_in(f.room)
-    });
-    if !fits {
+    let roomy = flavors.iter().filter(|f| spec.room.fits_in(f.room));
+    let places = roomy.flat_map(|f| f.zones.iter().map(move |zone| (&f.sku, zone)));
+    let places = places.filter(|(rig, zone)| spec.allows(rig, zone, false));
+    let zones: BTreeSet<&Zone> = places.map(|(_, zone)| zone).collect();
+    if zones.is_empty() {
         return never("a task fits no allowed machine type".into());
     }
+    let in_one = spec.one_zone || zones.len() == 1;
+    if spec.shape != Shape::Array && spec.spread && in_one && spec.zone_share() < spec.tasks {
+        return never("spread: all tasks would have to be in one zone".into());
+    }
     let at_once = match spec.shape {
         Shape::Array => 1,
         Shape::Gang | Shape::Service => spec.tasks,
@@ -200,65 +241,4 @@
 }
 
 #[cfg(test)]
-pub mod tests {
-    use super::*;
-    use serde_json::{Value, json};
-
-    pub fn body() -> Value {
-        json!({"id":"job-000412","lot":"train","crew":"vision","shape":"gang","rank":"urgent",
-            "picks":16,"vcpus":8.0,"accelerators":1.0,"memoryGb":64.0,"kit":"img-07","sizeGb":6.2,
-            "rigs":["g8"],"yard":null,"oneZone":true,"spread":false,"loaners":true,
-            "expectS":240.0,"markS":30.0,"stashS":4.0,"dueS":900.0,"later":"ignored"})
-    }
-
-    #[test]
-    fn malformed_submissions_are_told_from_good_ones() {
-        let cases: &[(&str, Value, bool)] = &[
-            ("rank", json!("urgent"), true),
-            ("yard", json!("a"), true),
-            ("rigs", Value::Null, true),
-            ("dueS", Value::Null, true),
-            ("vcpus", json!(0), true),
-            ("picks", json!(100_000), true),
-            ("id", json!("job-"), false),
-            ("id", json!("task-1"), false),
-            ("id", json!("job-1/2"), false),
-            ("id", json!(7), false),
-            ("picks", json!(0), false),
-            ("picks", json!(100_001), false),
-            ("picks", json!(1.5), false),
-            ("picks", json!("3"), false),
-            ("vcpus", json!(-1.0), false),
-            ("vcpus", json!(1e300), false),
-            ("memoryGb", json!("big"), false),
-            ("shape", json!("ring"), false),
-            ("rank", json!("top"), false),
-            ("oneZone", json!(1), false),
-            ("kit", json!(""), false),
-            ("crew", json!("x".repeat(300)), false),
-        ];
-        for (field, value, good) in cases {
-            let mut job = body();
-            job[*field] = value.clone();
-            let parsed = parse(job.to_string().as_bytes());
-            assert_eq!(parsed.is_ok(), *good, "{field} = {value}: {parsed:?}");
-        }
-        for field in ["id", "lot", "crew", "picks", "kit", "spread", "markS"] {
-            let mut job = body();
-            job.as_object_mut().unwrap().remove(field);
-            let parsed = parse(job.to_string().as_bytes());
-            assert!(
-                matches!(parsed, Err(Refusal::Malformed(_))),
-                "without {field}"
-            );
-        }
-        for text in ["", "[]", "7", "{", "null", "{\"id\":\"job-1\"}"] {
-            assert!(
-                matches!(parse(text.as_bytes()), Err(Refusal::Malformed(_))),
-                "{text}"
-            );
-        }
-        let huge = format!("{{\"x\":\"{}\"}}", "y".repeat(LARGEST_BODY));
-        assert!(matches!(parse(huge.as_bytes()), Err(Refusal::Malformed(_))));
-    }
-}
+pub mod tests;
--- /dev/null
+++ b/src/jobs/api/tests.rs
@@ -0,0 +1,229 @@
+use super::*;
+use serde_json::{Value, json};
+
+pub fn body() -> Value {
+    json!({"id":"job-000412","lot":"train","crew":"vision","shape":"gang","rank":"urgent",
+        "picks":16,"vcpus":8.0,"accelerators":1.0,"memoryGb":64.0,"kit":"img-07","sizeGb":6.2,
+        "rigs":["g8"],"yard":null,"oneZone":true,"spread":false,"loaners":true,
+        "expectS":240.0,"markS":30.0,"stashS":4.0,"dueS":900.0,"later":"ignored"})
+}
+
+fn malformed(refused: &Refused) -> bool {
+    matches!(refused.why, Refusal::Malformed(_))
+}
+
+#[test]
+fn malformed_submissions_are_told_from_good_ones() {
+    let cases: &[(&str, Value, bool)] = &[
+        ("rank", json!("urgent"), true),
+        ("yard", json!("a"), true),
+        ("rigs", Value::Null, true),
+        ("dueS", Value::Null, true),
+        ("vcpus", json!(0), true),
+        ("picks", json!(100_000), true),
+        ("id", json!("job-"), false),
+        ("id", json!("task-1"), false),
+        ("id", json!("job-1/2"), false),
+        ("id", json!(7), false),
+        ("picks", json!(0), false),
+        ("picks", json!(100_001), false),
+        ("picks", json!(1.5), false),
+        ("picks", json!("3"), false),
+        ("vcpus", json!(-1.0), false),
+        ("vcpus", json!(1e300), false),
+        ("memoryGb", json!("big"), false),
+        ("shape", json!("ring"), false),
+        ("rank", json!("top"), false),
+        ("oneZone", json!(1), false),
+        ("kit", json!(""), false),
+        ("crew", json!("x".repeat(300)), false),
+    ];
+    for (field, value, good) in cases {
+        let mut job = body();
+        job[*field] = value.clone();
+        let parsed = parse(job.to_string().as_bytes());
+        assert_eq!(parsed.is_ok(), *good, "{field} = {value}: {parsed:?}");
+    }
+    for field in ["id", "lot", "crew", "picks", "kit", "spread", "markS"] {
+        let mut job = body();
+        job.as_object_mut().unwrap().remove(field);
+        let parsed = parse(job.to_string().as_bytes());
+        assert!(
+            matches!(&parsed, Err(refused) if malformed(refused)),
+            "without {field}"
+        );
+    }
+    for text in ["", "[]", "7", "{", "null", "{\"id\":\"job-1\"}"] {
+        assert!(
+            matches!(parse(text.as_bytes()), Err(refused) if malformed(&refused)),
+            "{text}"
+        );
+    }
+    let huge = format!("{{\"x\":\"{}\"}}", "y".repeat(LARGEST_BODY));
+    assert!(matches!(parse(huge.as_bytes()), Err(refused) if malformed(&refused)));
+}
+
+/// Whatever is odd in a field: 400 with its name, except that what may be null may be left out.
+#[test]
+fn every_odd_field_is_named() {
+    let numbers = [
+        "vcpus",
+        "accelerators",
+        "memoryGb",
+        "sizeGb",
+        "expectS",
+        "markS",
+        "stashS",
+    ];
+    let names = ["id", "lot", "crew", "shape", "rank", "kit"];
+    let yes_or_no = ["oneZone", "spread", "loaners"];
+    let may_be_null = ["rigs", "yard", "dueS"];
+    let wrong = |fields: &[&'static str], values: &[Value]| {
+        let pairs = fields
+            .iter()
+            .flat_map(|f| values.iter().map(move |v| (*f, v.clone())));
+        pairs.collect::<Vec<_>>()
+    };
+    let nothing = [json!(null), json!([]), json!({})];
+    let mut odd = wrong(&numbers, &nothing);
+    odd.extend(wrong(
+        &numbers,
+        &[json!("8"), json!(-0.5), json!(1e13), json!(true)],
+    ));
+    odd.extend(wrong(&names, &nothing));
+    odd.extend(wrong(&names, &[json!(""), json!(3), json!(true)]));
+    odd.extend(wrong(&yes_or_no, &nothing));
+    odd.extend(wrong(&yes_or_no, &[json!("true"), json!(0)]));
+    odd.extend(wrong(&["picks"], &nothing));
+    let counts = [
+        json!(-1),
+        json!(0),
+        json!(2.5),
+        json!("2"),
+        json!(1u64 << 40),
+    ];
+    odd.extend(wrong(&["picks"], &counts));
+    odd.extend(wrong(&["rigs"], &[json!("g8"), json!([7]), json!({})]));
+    odd.extend(wrong(&["yard"], &[json!(7), json!([])]));
+    odd.extend(wrong(&["dueS"], &[json!("9"), json!(-1.0)]));
+    for (field, value) in odd {
+        let mut job = body();
+        job[field] = value.clone();
+        let refused = parse(job.to_string().as_bytes()).expect_err(field);
+        let Refusal::Malformed(reason) = &refused.why else {
+            panic!("{field} = {value}: {refused:?}");
+        };
+        assert!(reason.contains(field), "{field} = {value}: {reason}");
+        let read = (field != "id").then(|| "job-000412".into());
+        assert_eq!(refused.id, read, "{field} = {value}");
+    }
+    let all = [&numbers[..], &names, &yes_or_no, &["picks"], &may_be_null].concat();
+    assert_eq!(all.len(), 20, "as many as the protocol has");
+    for field in all {
+        let mut job = body();
+        let value = job.as_object_mut().unwrap().remove(field).unwrap();
+        let without = parse(job.to_string().as_bytes());
+        let named = |refused: &Refused| matches!(&refused.why, Refusal::Malformed(reason) if reason.contains(field));
+        if may_be_null.contains(&field) {
+            assert!(without.is_ok(), "without {field}: {without:?}");
+        } else {
+            assert!(
+                without.as_ref().is_err_and(named),
+                "without {field}: {without:?}"
+            );
+        }
+        let text = body().to_string();
+        let doubled = format!("{},\"{field}\":{value}}}", text.strip_suffix('}').unwrap());
+        let doubled = parse(doubled.as_bytes());
+        assert!(
+            doubled.as_ref().is_err_and(named),
+            "two of {field}: {doubled:?}"
+        );
+    }
+    let trailing = format!("{} 7", body());
+    assert!(parse(trailing.as_bytes()).is_err_and(|refused| malformed(&refused)));
+}
+
+#[test]
+fn what_can_never_run_is_told_from_what_waits() {
+    let mut settings = crate::settings::tests::settings();
+    settings["deployment"]["teams"] = json!([{"name": "vision", "cpus": 0.0, "cpus_max": 0.0,
+        "gpus": 0.0, "gpus_max": 16.0}]);
+    let settings = Settings::parse("f", &settings.to_string()).unwrap();
+    let flavor = |sku: &str, zones: &[&str], gpus: f64| Flavor {
+        sku: sku.into(),
+        room: Room {
+            cpus: 96.0,
+            gpus,
+            memory_gb: 768.0,
+        },
+        zones: zones.iter().map(|zone| Zone::from(*zone)).collect(),
+        cache_gb: 100.0,
+        fetch_gb_per_s: 1.0,
+        price: 10.0,
+        spot_price: 4.0,
+        boot_s: 30.0,
+    };
+    let flavors = [flavor("g8", &["a", "b"], 8.0), flavor("c1", &["a"], 0.0)];
+    let cases: Vec<(Vec<(&str, Value)>, bool)> = vec![
+        // what is changed, whether it can ever run
+        (vec![], true),
+        (vec![("crew", json!("nobody"))], false),
+        // The limit of the team: of an array one task, of the others all.
+        (vec![("picks", json!(17))], false),
+        (
+            vec![("picks", json!(17)), ("shape", json!("standing"))],
+            false,
+        ),
+        (vec![("picks", json!(17)), ("shape", json!("sweep"))], true),
+        (vec![("rigs", json!(["g9"]))], false),
+        (vec![("rigs", json!([]))], false),
+        (vec![("rigs", json!(["g9", "g8"]))], true),
+        (vec![("yard", json!("c"))], false),
+        (vec![("yard", json!("b"))], true),
+        (vec![("vcpus", json!(97.0))], false),
+        (vec![("accelerators", json!(8.5))], false),
+        // Each field allows one, all together none.
+        (vec![("rigs", json!(["c1"]))], false),
+        (
+            vec![("rigs", json!(["c1"])), ("accelerators", json!(0.0))],
+            true,
+        ),
+        (
+            vec![
+                ("rigs", json!(["c1"])),
+                ("accelerators", json!(0.0)),
+                ("yard", json!("b")),
+            ],
+            false,
+        ),
+        // No more than half of its tasks may be in the only zone that it may have.
+        (vec![("spread", json!(true))], false),
+        (
+            vec![("spread", json!(true)), ("oneZone", json!(false))],
+            true,
+        ),
+        (vec![("spread", json!(true)), ("picks", json!(1))], true),
+        (
+            vec![
+                ("spread", json!(true)),
+                ("oneZone", json!(false)),
+                ("yard", json!("a")),
+            ],
+            false,
+        ),
+        (
+            vec![("spread", json!(true)), ("shape", json!("sweep"))],
+            true,
+        ),
+    ];
+    for (changes, runs) in cases {
+        let mut job = body();
+        for (field, value) in &changes {
+            job[*field] = value.clone();
+        }
+        let (_, spec) = parse(job.to_string().as_bytes()).unwrap();
+        let verdict = admit(spec, &settings, &flavors);
+        assert_eq!(verdict.is_ok(), runs, "{changes:?}: {verdict:?}");
+    }
+}
