--- a/crates/region/src/live/control.rs
+++ b/crates/region/src/live/control.rs
@@ -33,7 +33,7 @@
     };
     let (id, spec) = match api::parse(body) {
         Ok(parsed) => parsed,
-        Err(why) => return error(400, format!("{why:?}")),
+        Err(why) => return error(400, format!("{:?}", why.why)),
     };
     let run = Millis::from_secs(runs.run_s.unwrap_or(spec.estimate_s));
     let region = &mut *shared.lock();
--- a/crates/region/tests/troubles/meetings/pairs.rs
+++ b/crates/region/tests/troubles/meetings/pairs.rs
@@ -3,7 +3,7 @@
 use jaspertiller::types::Millis;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use tiller_region::sim::{Refusal, World, job};
+use tiller_region::sim::{Refusal, World, ZoneCut, job};
 
 use super::super::{CALM, alone, finish, log_if_asked, seeds};
 use super::holders::MEETINGS;
@@ -59,12 +59,47 @@
             let by = luck.random_range(100..2_300);
             world.slow_store = Some((now + long, by / 4..by));
         }
-        _ => {
+        13 => {
             let hosts = world.machines.hosts.values_mut();
             for machine in hosts.filter(|_| luck.random_bool(0.4)) {
                 machine.unreachable_until = Millis(now + long);
             }
         }
+        14 => {
+            let share = luck.random_range(0.1..1.0);
+            let hosts = world.machines.hosts.values_mut();
+            for machine in hosts.filter(|_| luck.random_bool(share)) {
+                machine.mute_until = Millis(now + long);
+            }
+        }
+        15 => {
+            // Users call off half of what runs, and its machines hang.
+            for index in 0..world.jobs.len() {
+                if luck.random_bool(0.5) {
+                    world.abort_at(now + luck.random_range(0..200), index);
+                }
+            }
+            (0..4).for_each(|_| world.hang_worker(some(luck), now + long));
+        }
+        16 => world.meet_ends = luck.random_range(0.2..1.0),
+        17 => {
+            let by = luck.random_range(200..1_900);
+            world.slow_links = Some(by / 4..by);
+        }
+        18 => {
+            let zone = world.settings[old].zone.clone();
+            world.zone_cuts.push(ZoneCut {
+                zone,
+                since: now,
+                until: now + long,
+                hold: luck.random_bool(0.5),
+            });
+        }
+        _ => {
+            let hosts: Vec<_> = world.machines.hosts.keys().cloned().collect();
+            let held = hosts.into_iter().filter(|_| luck.random_bool(0.4));
+            world.holds_reports.extend(held);
+        }
     }
     vec![0, long / 3, long]
 }
@@ -98,7 +133,10 @@
     world.run_until(begin);
     let count = luck.random_range(2..4);
     for _ in 0..count {
-        let kind = luck.random_range(0..14);
+        let kind = luck.random_range(0..20);
+        // What was held back before arrives now, at whoever leads.
+        let to = leader_or_first(&world);
+        world.let_reports_through(to);
         let from = world.now;
         tracing::info!(kind, from, "a trouble begins");
         let steps = strike(&mut world, kind, &mut luck);
@@ -106,6 +144,8 @@
         let next = from + (step + luck.random_range(0..2_000)).saturating_sub(500);
         world.run_until(next.max(from).min(CALM - 45_000));
     }
+    let to = leader_or_first(&world);
+    world.let_reports_through(to);
     world
 }
 
