--- /dev/null
+++ b/src/controller/cancelling/tests.rs
@@ -0,0 +1,47 @@
+use super::*;
+use crate::controller::Effect;
+use crate::controller::committing::tests::controller;
+use crate::jobs::api::{parse, tests::body};
+use crate::jobs::{Placement, Shape, Task};
+use crate::store::Call;
+use crate::types::{Attempt, BlockId, Revision, Session};
+
+/// What the cache does not show yet of a job that is being cancelled may be on its machine when
+/// its user hears that it is over.
+#[test]
+fn a_job_is_over_once_all_that_was_placed_of_it_is_known_and_gone() {
+    let here = Task::Placed(Placement {
+        host: "vm-a".into(),
+        block: BlockId::parse("a.0").unwrap(),
+        session: Session(1),
+        attempt: Attempt(1),
+    });
+    let cases = [
+        // placed, known up to, over
+        (Task::FRESH, 19, false),
+        (Task::FRESH, 20, true),
+        (here, 20, false),
+    ];
+    for (task, applied, over) in cases {
+        let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+        (spec.shape, spec.tasks) = (Shape::Array, 1);
+        let (mut controller, id) = controller(spec, vec![task.clone()]);
+        let record = JobRecord {
+            phase: Phase::Aborting,
+            ..controller.jobs.get(&id).unwrap().record.clone()
+        };
+        let text = serde_json::to_string(&record).unwrap();
+        controller.feed(&job_key(&id), Some(&text), Revision(20));
+        controller.applied = Revision(applied);
+        controller.fresh.waiting.clear();
+        controller.effects.clear();
+        controller.clear(&id);
+        let ends = controller.effects.iter().any(|effect| {
+            let Effect::Store { call, .. } = effect else {
+                return false;
+            };
+            matches!(call, Call::Txn(txn) if !txn.changes.is_empty())
+        });
+        assert_eq!(ends, over, "{task:?}, known up to {applied}");
+    }
+}
--- /dev/null
+++ b/src/controller/committing/tests.rs
@@ -0,0 +1,260 @@
+use std::sync::Arc;
+
+use super::*;
+use crate::jobs::api::{parse, tests::body};
+use crate::jobs::{Placement, Spec};
+use crate::lease::Own;
+use crate::settings::{Settings, tests::settings};
+use crate::store::Call;
+use crate::types::{Permit, Session, Token};
+use crate::workers::Machine;
+
+fn placed(host: &str, block: &str, attempt: u64) -> Task {
+    Task::Placed(Placement {
+        host: host.into(),
+        block: BlockId::parse(block).unwrap(),
+        session: Session(1),
+        attempt: Attempt(attempt),
+    })
+}
+
+/// A controller that holds block a.0 under token 5 and knows one machine there and one in b.0.
+pub fn controller(spec: Spec, tasks: Vec<Task>) -> (Controller, JobId) {
+    controller_with(&settings(), spec, tasks)
+}
+
+pub fn controller_with(
+    settings: &serde_json::Value,
+    spec: Spec,
+    tasks: Vec<Task>,
+) -> (Controller, JobId) {
+    let settings = Settings::parse("f", &settings.to_string()).unwrap();
+    let mut controller = Controller::new(Arc::new(settings), 1);
+    controller.synced = true;
+    controller.leases.own = Own::Held {
+        permit: Permit(1),
+        until: Millis(60_000),
+    };
+    for block in ["a.0", "b.0"] {
+        let record = r#"{"holder":"n0","permit":1}"#;
+        controller.feed(&format!("jt/block/{block}"), Some(record), Revision(5));
+    }
+    let flavor = r#"[{"sku":"g8","room":{"cpus":96.0,"gpus":8.0,"memory_gb":768.0},"cache_gb":100.0,
+        "fetch_gb_per_s":1.0,"price":10.0,"spot_price":4.0,"boot_s":30.0,"zones":["a","b"]}]"#;
+    controller.feed("jt/flavors", Some(flavor), Revision(1));
+    for (host, zone) in [("vm-a", "a"), ("vm-b", "b")] {
+        let block = BlockId {
+            zone: zone.into(),
+            part: 0,
+        };
+        let (id, by) = (HostId::from(host), "n0".into());
+        let mut machine = Machine::new(id.clone(), "g8".into(), zone.into(), false, block, by);
+        machine.session = Session(1);
+        controller.machines.insert(id, machine);
+    }
+    let id = JobId::from("job-1");
+    let record = JobRecord {
+        phase: Phase::Active,
+        home: "n0".into(),
+        tasks: spec.tasks,
+        page: 8,
+        spec: Some(spec),
+    };
+    let record = serde_json::to_string(&record).unwrap();
+    controller.feed(&job_key(&id), Some(&record), Revision(6));
+    let page = encode_page(&tasks);
+    controller.feed(&page_key(&id, 0), Some(&page), Revision(7));
+    controller.effects.clear();
+    (controller, id)
+}
+
+/// Days were lost to each of these: what was decided while another transaction was under way,
+/// or while the budget was short, was written although the records had moved on.
+#[test]
+fn what_the_records_have_overtaken_is_not_written() {
+    let release = |attempt, token| Change::Release {
+        attempt: Attempt(attempt),
+        evidence: Evidence::Holder(Token(token)),
+    };
+    let deleted = |attempt| Change::Release {
+        attempt: Attempt(attempt),
+        evidence: Evidence::Deleted,
+    };
+    let place = |host: &str, block: &str, attempt| match placed(host, block, attempt) {
+        Task::Placed(placement) => Change::Place(placement),
+        _ => unreachable!(),
+    };
+    let finish = |attempt| Change::Finish {
+        attempt: Attempt(attempt),
+    };
+    let on_a = || placed("vm-a", "a.0", 2);
+    let waits = |tried| Task::Waiting {
+        tried: Attempt(tried),
+    };
+    let cases: Vec<(&str, f64, [Task; 2], Change, bool)> = vec![
+        (
+            "present attempt",
+            1.0,
+            [on_a(), waits(0)],
+            release(2, 5),
+            true,
+        ),
+        (
+            "earlier attempt",
+            1.0,
+            [on_a(), waits(0)],
+            release(1, 5),
+            false,
+        ),
+        (
+            "earlier token",
+            1.0,
+            [on_a(), waits(0)],
+            release(2, 4),
+            false,
+        ),
+        ("deleted", 1.0, [on_a(), waits(0)], deleted(2), true),
+        ("deleted before", 1.0, [on_a(), waits(0)], deleted(1), false),
+        ("done", 1.0, [on_a(), waits(0)], finish(2), true),
+        ("done before", 1.0, [on_a(), waits(0)], finish(1), false),
+        (
+            "start",
+            1.0,
+            [waits(2), on_a()],
+            place("vm-b", "b.0", 3),
+            true,
+        ),
+        (
+            "used attempt",
+            1.0,
+            [waits(3), on_a()],
+            place("vm-b", "b.0", 3),
+            false,
+        ),
+        (
+            "zone is full",
+            1.0,
+            [waits(2), on_a()],
+            place("vm-a", "a.0", 3),
+            false,
+        ),
+        (
+            "no room any more",
+            8.0,
+            [waits(2), on_a()],
+            place("vm-a", "a.0", 3),
+            false,
+        ),
+        (
+            "unknown machine",
+            1.0,
+            [waits(2), on_a()],
+            place("vm-c", "b.0", 3),
+            false,
+        ),
+        (
+            "block of nobody",
+            1.0,
+            [waits(2), on_a()],
+            place("vm-b", "b.1", 3),
+            false,
+        ),
+    ];
+    for (name, gpus, tasks, change, written) in cases {
+        let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+        (spec.shape, spec.tasks, spec.one_zone) = (Shape::Array, 2, false);
+        spec.spread = name != "no room any more";
+        spec.room.gpus = gpus;
+        let (mut controller, id) = controller(spec, tasks.to_vec());
+        // Noted when it was right; the records are newer.
+        controller.jobs.want(&id, 0, change);
+        controller.write(&id);
+        let wrote = controller.effects.iter().any(|effect| {
+            let Effect::Store { call, .. } = effect else {
+                return false;
+            };
+            matches!(call, Call::Txn(txn) if !txn.changes.is_empty())
+        });
+        assert_eq!(wrote, written, "{name}");
+    }
+}
+
+/// A gang completed, and one of its machines came back at once with nothing on it: what it had was
+/// released, the rest was done, and the gang waited for a task that nobody could place.
+#[test]
+fn one_task_of_a_gang_that_is_done_shows_that_all_of_its_attempt_are() {
+    let waits = |tried| Task::Waiting {
+        tried: Attempt(tried),
+    };
+    let finish = Change::Finish {
+        attempt: Attempt(2),
+    };
+    let release = Change::Release {
+        attempt: Attempt(2),
+        evidence: Evidence::Holder(Token(5)),
+    };
+    let cases = [
+        // the other task, what is noted of it, the gang is done
+        (placed("vm-b", "b.0", 2), None, true),
+        (placed("vm-b", "b.0", 2), Some(release), true),
+        (waits(2), None, true),
+        (waits(3), None, false),
+    ];
+    for (mate, noted, done) in cases {
+        let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+        (spec.shape, spec.tasks) = (Shape::Gang, 2);
+        let tasks = vec![placed("vm-a", "a.0", 2), mate.clone()];
+        let (mut controller, id) = controller(spec, tasks);
+        controller.jobs.want(&id, 0, finish.clone());
+        if let Some(noted) = noted {
+            controller.jobs.want(&id, 1, noted);
+        }
+        controller.write(&id);
+        let ends = controller.effects.iter().any(|effect| {
+            let Effect::Store { call, .. } = effect else {
+                return false;
+            };
+            let over = |c: &crate::store::Change| {
+                matches!(c, crate::store::Change::Put { key, data, .. }
+                    if *key == job_key(&id) && data.contains("\"done\""))
+            };
+            matches!(call, Call::Txn(txn) if txn.changes.iter().any(over))
+        });
+        assert_eq!(ends, done, "{mate:?}");
+    }
+}
+
+/// While changes were short the room that a gang had made for it came free in the records 2.5 s
+/// late, since the first starts of arrays wait so long for more; and a start waits.
+#[test]
+fn while_changes_are_short_starts_wait_for_company_and_releases_do_not() {
+    let release = Change::Release {
+        attempt: Attempt(2),
+        evidence: Evidence::Holder(Token(5)),
+    };
+    let Task::Placed(free) = placed("vm-b", "b.0", 3) else {
+        unreachable!()
+    };
+    let cases = [
+        // short, change, written at once
+        (false, 0, release.clone(), true),
+        (true, 0, release, true),
+        (false, 1, Change::Place(free.clone()), true),
+        (true, 1, Change::Place(free), false),
+    ];
+    for (short, index, change, at_once) in cases {
+        let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+        (spec.shape, spec.tasks, spec.one_zone) = (Shape::Array, 3, false);
+        (spec.rank, spec.spread) = (Rank::Normal, false);
+        let tasks = vec![placed("vm-a", "a.0", 2), Task::FRESH, Task::FRESH];
+        let (mut controller, id) = controller(spec, tasks);
+        controller.now = Millis(10_000);
+        if short {
+            controller.short_until = Millis(11_000);
+        }
+        controller.jobs.want(&id, index, change.clone());
+        controller.commit(&id);
+        let written = controller.jobs.get(&id).unwrap().writing == Writing::InFlight;
+        assert_eq!(written, at_once, "{change:?}, short: {short}");
+    }
+}
--- /dev/null
+++ b/src/controller/fleet_keeping/tests.rs
@@ -0,0 +1,89 @@
+use super::*;
+use crate::controller::committing::tests::controller;
+use crate::jobs::api::{parse, tests::body};
+use crate::jobs::{Placement, Task};
+use crate::types::{Attempt, BlockId, Session};
+
+/// A holder that had not heard of a deletion placed a task on the machine after it: the task was
+/// on no machine, and in the records for ever.
+#[test]
+fn what_is_placed_on_a_deleted_machine_is_released_whenever_it_was_placed() {
+    let here = Task::Placed(Placement {
+        host: "vm-a".into(),
+        block: BlockId::parse("a.0").unwrap(),
+        session: Session(1),
+        attempt: Attempt(1),
+    });
+    for (gone, released) in [(false, false), (true, true)] {
+        let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+        (spec.shape, spec.tasks) = (Shape::Array, 1);
+        let (mut controller, id) = controller(spec, vec![here.clone()]);
+        if gone {
+            controller.fleet.gone.insert("vm-a".into());
+        }
+        controller.leave_the_gone();
+        let job = controller.jobs.get(&id).unwrap();
+        assert_eq!(!job.changes.is_empty(), released, "deleted: {gone}");
+    }
+}
+
+/// A leader that the state service refused had machines deleted, and could not write that their tasks
+/// had left. Its successor had heard of these machines, and no list showed them any more: their
+/// jobs waited for ever, and their cancellations were never told.
+#[test]
+fn a_silent_machine_that_no_list_shows_is_deleted_for_its_tasks() {
+    let cases = [
+        // the machine is known, seconds since it was heard, the list shows it, its holder hears others,
+        // seconds that we have led and read lists; deleted
+        (true, 60, false, true, 90, true),
+        (true, 60, true, true, 90, true),
+        (true, 1, false, true, 90, false),
+        (false, 60, false, true, 90, true),
+        // Its holder's last machine was this one.
+        (false, 60, false, false, 90, true),
+        (true, 60, false, false, 90, true),
+        (false, 60, false, false, 20, false),
+        (true, 1, false, false, 90, false),
+        (true, 60, true, false, 90, false),
+    ];
+    for (known, silent_s, listed, hears, led_s, deleted) in cases {
+        let here = Task::Placed(Placement {
+            host: "vm-2".into(),
+            block: BlockId::parse("a.0").unwrap(),
+            session: Session(1),
+            attempt: Attempt(1),
+        });
+        let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+        (spec.shape, spec.tasks) = (Shape::Array, 1);
+        let (mut controller, _) = controller(spec, vec![here]);
+        controller.now = Millis(100_000);
+        controller.hears = true;
+        controller.last_report = controller.now - Millis(if hears { 0 } else { 60_000 });
+        controller.led_since = controller.now - Millis(led_s * 1_000);
+        controller.fleet.listed = controller.now;
+        let block = BlockId::parse("a.0").unwrap();
+        controller.moved.insert(block.clone(), Millis(1));
+        let host = HostId::from("vm-2");
+        if known {
+            let (rig, zone, by) = ("g8".into(), "a".into(), "n0".into());
+            let mut machine = Machine::new(host.clone(), rig, zone, false, block, by);
+            machine.heard = controller.now - Millis(silent_s * 1_000);
+            controller.machines.insert(host.clone(), machine);
+        }
+        if listed {
+            let rented = Rented {
+                rig: "g8".into(),
+                zone: "a".into(),
+                spot: false,
+                stage: Stage::Running,
+                since: Millis(0),
+                seen: controller.now,
+                idle: None,
+            };
+            controller.fleet.hosts.insert(host.clone(), rented);
+        }
+        controller.delete_lost();
+        let case = format!("{known}, {silent_s} s, {listed}, {hears}, {led_s} s");
+        assert_eq!(controller.fleet.deleting.contains(&host), deleted, "{case}");
+    }
+}
--- /dev/null
+++ b/src/controller/nested/tests.rs
@@ -0,0 +1,133 @@
+use super::*;
+use crate::controller::committing::tests::controller;
+use crate::jobs::api::{parse, tests::body};
+use crate::jobs::{Placement, Task};
+use crate::lease::LEADER;
+use crate::quota::nested::Nested;
+use crate::settings::TeamSettings;
+use crate::store::Call;
+use crate::types::{Attempt, BlockId, Session};
+use tiller_quota::TreeSpec;
+
+/// A controller that leads, has one job of eight tasks, and a tree in force at revision 11 that
+/// caps its team, and the node above it at one more.
+fn with_tree(applied: u64, most: u32) -> (Controller, JobId) {
+    let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+    (spec.shape, spec.tasks) = (Shape::Array, 8);
+    let (mut controller, id) = controller(spec, vec![Task::FRESH; 8]);
+    let team = TeamSettings {
+        name: "vision".into(),
+        cpus: 0.0,
+        cpus_max: 0.0,
+        gpus: 0.0,
+        gpus_max: 0.0,
+    };
+    let text = format!(
+        "[tree]\nrevision=1\n[node top]\ngpus=4\ngpus_max={}\n\
+         [node v]\nparent=top\nteam=vision\ngpus_max={most}\n",
+        most + 1
+    );
+    let file = TreeSpec::parse("f", &text).unwrap();
+    controller.nested = Nested::new(std::slice::from_ref(&team), Some(&file), 8.0);
+    controller.feed(LEADER, Some(r#"{"leader":"n0","permit":1}"#), Revision(9));
+    let mut revision = 9;
+    loop {
+        let changes = match controller.nested.owed(1) {
+            Owed::Pages(pages) => pages,
+            Owed::Head(text, _) => vec![(HEAD.to_string(), text)],
+            Owed::Nothing => break,
+        };
+        for (key, text) in changes {
+            revision += 1;
+            controller.feed(&key, Some(&text), Revision(revision));
+        }
+    }
+    assert_eq!(controller.nested.version(), Revision(11));
+    controller.applied = Revision(applied);
+    controller.effects.clear();
+    (controller, id)
+}
+
+fn place(controller: &mut Controller, id: &JobId, task: u32) -> Option<Txn> {
+    let placement = Placement {
+        host: "vm-a".into(),
+        block: BlockId::parse("a.0").unwrap(),
+        session: Session(1),
+        attempt: Attempt(1),
+    };
+    controller.jobs.want(id, task, Change::Place(placement));
+    controller.commit(id);
+    written(controller)
+}
+
+fn written(controller: &Controller) -> Option<Txn> {
+    controller.effects.iter().find_map(|effect| match effect {
+        Effect::Store {
+            call: Call::Txn(txn),
+            ..
+        } => Some(txn.clone()),
+        _ => None,
+    })
+}
+
+fn required(txn: &Txn, key: &str) -> Option<u64> {
+    let known = txn.conditions.iter().find(|(k, _)| k == key);
+    known.map(|(_, version)| version.0)
+}
+
+/// A transaction may be applied minutes late, when another tree is in force whose limits it
+/// knew nothing of. So every placement, and every deal, rests on the version of the tree.
+#[test]
+fn placements_and_deals_rest_on_the_tree() {
+    let (mut controller, id) = with_tree(11, 5);
+    let txn = place(&mut controller, &id, 0).unwrap();
+    assert_eq!(required(&txn, HEAD), Some(11));
+    // Shares of both levels rise with it, in the block's one record.
+    let text = format!("{:?}", txn.changes);
+    assert!(text.contains("vision") && text.contains("#top"), "{text}");
+    assert_eq!(txn.changes.len(), 2, "{text}");
+
+    let (mut controller, _) = with_tree(11, 60);
+    controller.now = Millis(10_000);
+    controller.keep_shares();
+    let txn = written(&controller).unwrap();
+    assert_eq!(required(&txn, HEAD), Some(11));
+
+    // A newer head whose pages are not here yet: what is decided by the old tree is written on
+    // condition of the old one, and so fails; nothing is dealt or raised.
+    let head = r#"{"revision":2,"hash":"x","pages":1,"hold_ms":0,"enabled":true}"#;
+    let (mut controller, id) = with_tree(12, 60);
+    controller.feed(HEAD, Some(head), Revision(12));
+    controller.now = Millis(10_000);
+    controller.keep_shares();
+    assert!(written(&controller).is_none());
+    assert!(place(&mut controller, &id, 0).is_none());
+}
+
+/// What was placed by the tree before may not be known yet: until it is, no share is raised.
+#[test]
+fn no_share_rises_before_all_that_was_placed_by_the_old_tree_is_known() {
+    for (applied, rises) in [(10, false), (11, true)] {
+        let (mut controller, id) = with_tree(applied, 5);
+        let wrote = place(&mut controller, &id, 0).is_some();
+        assert_eq!(wrote, rises, "applied up to {applied}");
+    }
+}
+
+/// Five fit the team, six its node: the sixth task is not placed whoever asks.
+#[test]
+fn every_level_caps_what_is_placed() {
+    let (mut controller, id) = with_tree(11, 5);
+    for task in 0..5 {
+        let placement = Placement {
+            host: "vm-a".into(),
+            block: BlockId::parse("a.0").unwrap(),
+            session: Session(1),
+            attempt: Attempt(1),
+        };
+        controller.jobs.want(&id, task, Change::Place(placement));
+    }
+    assert!(place(&mut controller, &id, 5).is_none());
+    controller.jobs.discard(&id, &[5]);
+    assert!(place(&mut controller, &id, 4).is_some());
+}
--- /dev/null
+++ b/src/controller/placing/tests.rs
@@ -0,0 +1,78 @@
+use super::*;
+use crate::controller::committing::tests::controller;
+use crate::jobs::Task;
+use crate::jobs::api::{parse, tests::body};
+use crate::jobs::record::job_key;
+
+/// A message between controllers takes a millisecond, the watch up to a pause of its own: jobs
+/// that were handed to the leader at once were unknown there, and waited a second.
+#[test]
+fn a_job_that_is_handed_over_before_it_is_known_is_taken_when_it_is() {
+    for (known_after, queued) in [(100, true), (60_000, false)] {
+        let (_, spec) = parse(body().to_string().as_bytes()).unwrap();
+        let (mut controller, known) = controller(spec, vec![Task::FRESH; 8]);
+        controller.feed(
+            "jt/lead",
+            Some(r#"{"leader":"n0","permit":1}"#),
+            Revision(8),
+        );
+        let record = serde_json::to_string(&controller.jobs.get(&known).unwrap().record);
+        let job = "job-9".to_string();
+        let id = JobId::from(job.clone());
+        controller.on_peer("n1".into(), Message::Unplaced { job });
+        assert!(!controller.queue.contains(&id));
+        controller.now = Millis(known_after);
+        controller.notice_silence();
+        let record = record.unwrap().replace("\"n0\"", "\"n1\"");
+        // Its home is there, so nothing but the hand-over makes it ours.
+        let node = r#"{"permit":2,"zone":"a","hears":true}"#;
+        controller.feed("jt/node/n1", Some(node), Revision(9));
+        controller.feed(&job_key(&id), Some(&record), Revision(10));
+        assert_eq!(
+            controller.queue.contains(&id),
+            queued,
+            "after {known_after}"
+        );
+    }
+}
+
+/// A block came back to us whose machine had begun a new session meanwhile, under another holder.
+/// Its counter was held against that of the session that we knew, so what it said counted as old
+/// for minutes, and it was given up for silence.
+#[test]
+fn a_counter_is_of_its_own_session() {
+    let cases = [
+        // session that the other holder told of, session and counter that the machine shows, newer
+        (1, 1, 50, false),
+        (1, 1, 51, true),
+        (2, 2, 5, true),
+        (3, 2, 900, false),
+    ];
+    for (told, session, tally, newer) in cases {
+        let (_, spec) = parse(body().to_string().as_bytes()).unwrap();
+        let (mut controller, _) = controller(spec, vec![Task::FRESH; 8]);
+        let host = HostId::from("vm-a");
+        let machine = controller.machines.get_mut(&host).unwrap();
+        (machine.session, machine.tally) = (Session(1), 50);
+        let held = r#"{"holder":"n1","permit":2}"#;
+        controller.feed("jt/block/a.0", Some(held), Revision(20));
+        let pulse = Pulse {
+            host: host.to_string(),
+            silent_ms: 0,
+            session: told,
+            doubtful: false,
+            warned: false,
+            sick: false,
+            draining: false,
+        };
+        let status = Status {
+            machines: vec![pulse],
+            ..Status::default()
+        };
+        controller.on_peer("n1".into(), Message::Status(status));
+        let machine = &controller.machines[&host];
+        assert_eq!(machine.session, Session(told));
+        let taken = machine.newer(Session(session), tally);
+        assert_eq!(taken, newer, "told of {told}, shows {session} {tally}");
+    }
+}
