--- /dev/null
+++ b/src/cycle/tests.rs
@@ -0,0 +1,114 @@
+use super::*;
+use crate::jobs::Rank;
+use crate::jobs::api::{parse, tests::body};
+use crate::types::BlockId;
+
+fn room(gpus: f64) -> Room {
+    Room {
+        cpus: gpus * 6.0,
+        gpus,
+        memory_gb: gpus * 20.0,
+    }
+}
+
+/// Array tasks that had to fetch filled machines four at a time, and a minute's fetch served one
+/// machine; those that find their image still fill machines.
+#[test]
+fn tasks_that_fetch_slowly_spread() {
+    let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+    (spec.shape, spec.rank) = (crate::jobs::Shape::Array, Rank::Normal);
+    (spec.room, spec.image_gb, spec.checkpoint_s) = (room(1.0), 7.0, 15.0);
+    assert!(spec.yields());
+    let cases = [
+        // gigabytes a second, cached, fills
+        (0.8, false, true),
+        (0.5, false, true),
+        (0.12, false, false),
+        (0.12, true, true),
+    ];
+    for (rate, cached, fills) in cases {
+        let block = BlockId::parse("a.0").unwrap();
+        let (rig, zone) = ("g4".into(), "a".into());
+        let mut machine = Machine::new("vm-1".into(), rig, zone, false, block, "n0".into());
+        if cached {
+            machine.note_image(&spec.image, 7.0, 80.0, crate::types::Millis(0));
+        }
+        let fetch_s = spec.image_gb / rate;
+        let at = |taken: f64| Candidate {
+            machine: &machine,
+            whole: room(4.0),
+            free: room(4.0 - taken),
+            yielding: true,
+            image_s: if cached { 0.0 } else { fetch_s },
+            fetch_s,
+            firm: 0.0,
+        };
+        let (beside, alone) = (score(&spec, &at(2.0), false), score(&spec, &at(0.0), false));
+        assert_eq!(beside > alone, fills, "{rate} GB/s: {beside}, {alone}");
+    }
+}
+
+/// Guests' arrays of the lowest rank filled every machine that stood ready: gangs waited for them to
+/// save (started in 30 s 0.87, then 0.97).
+#[test]
+fn who_keeps_off_empty_machines_finds_room_beside_others() {
+    let (jobs, id) = crate::jobs::cache::tests::jobs(1, &[]);
+    let job = jobs.get(&id).unwrap();
+    let block = BlockId::parse("a.0").unwrap();
+    let (host, rig, zone) = ("vm-1".into(), "g8".into(), "a".into());
+    let machine = &Machine::new(host, rig, zone, false, block, "n0".into());
+    for (keeps_off, taken, rejected) in [
+        (false, 0.0, None),
+        (true, 0.0, Some(Check::Room)),
+        (true, 1.0, None),
+    ] {
+        let mut asking = Asking::new(job, Vec::new());
+        asking.keeps_off_empty = keeps_off;
+        let whole = room(64.0);
+        let candidate = Candidate {
+            machine,
+            whole,
+            free: whole.minus(room(taken)),
+            yielding: true,
+            image_s: 0.0,
+            fetch_s: 1.0,
+            firm: 0.0,
+        };
+        assert_eq!(
+            filter(&asking, &candidate),
+            rejected,
+            "{keeps_off}, {taken}"
+        );
+    }
+}
+
+/// Replicas filled machines four at a time, so where an image took a minute to fetch, all the
+/// machines that had it were full of work that never gives way, and each new replica fetched.
+#[test]
+fn replicas_share_machines_only_where_fetches_are_quick() {
+    let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+    (spec.shape, spec.rank) = (crate::jobs::Shape::Service, Rank::Critical);
+    (spec.room, spec.image_gb) = (room(1.0), 7.0);
+    let block = BlockId::parse("a.0").unwrap();
+    let machine = |host: &str| {
+        let (rig, zone) = ("g4".into(), "a".into());
+        Machine::new(host.into(), rig, zone, false, block.clone(), "n0".into())
+    };
+    let (empty, used) = (machine("vm-2"), machine("vm-1"));
+    let cases = [(0.8, true), (0.5, true), (0.12, false)];
+    for (rate, shares) in cases {
+        let fetch_s = spec.image_gb / rate;
+        let at = |machine, taken: f64| Candidate {
+            machine,
+            whole: room(4.0),
+            free: room(4.0 - taken),
+            yielding: taken == 0.0,
+            image_s: fetch_s,
+            fetch_s,
+            firm: taken / 4.0,
+        };
+        let beside = score(&spec, &at(&used, 1.0), false);
+        let alone = score(&spec, &at(&empty, 0.0), false);
+        assert_eq!(beside > alone, shares, "{rate} GB/s: {beside}, {alone}");
+    }
+}
--- /dev/null
+++ b/src/jobs/cache/tests.rs
@@ -0,0 +1,129 @@
+use super::*;
+use crate::jobs::api::{parse, tests::body};
+use crate::jobs::record::{encode_page, job_key, page_key};
+use crate::types::{BlockId, Session};
+
+fn placed(host: &str) -> Task {
+    Task::Placed(Placement {
+        host: host.into(),
+        block: BlockId::parse("a.0").unwrap(),
+        session: Session(1),
+        attempt: Attempt(1),
+    })
+}
+
+pub(crate) fn jobs(tasks: u32, pages: &[(u32, Vec<Task>)]) -> (Jobs, JobId) {
+    let (id, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+    (spec.tasks, spec.shape) = (tasks, Shape::Array);
+    let record = JobRecord {
+        phase: Phase::Active,
+        home: "n0".into(),
+        tasks,
+        page: 4,
+        spec: Some(spec),
+    };
+    let mut jobs = Jobs::default();
+    let record = serde_json::to_string(&record).unwrap();
+    jobs.feed(&job_key(&id), Some(&record), Revision(1), Millis(1));
+    for (page, tasks) in pages {
+        let text = encode_page(tasks);
+        jobs.feed(&page_key(&id, *page), Some(&text), Revision(2), Millis(1));
+    }
+    (jobs, id)
+}
+
+/// The answer to a cancellation came after the watch had brought the job's end: the job was
+/// taken up again from the older record, and its users were told that it is queued.
+#[test]
+fn an_older_record_does_not_bring_a_job_back_that_is_over() {
+    let (mut jobs, id) = jobs(1, &[]);
+    let record = |phase, over: bool| {
+        let job = jobs.get(&id).unwrap();
+        let spec = (!over).then(|| job.spec.clone());
+        let record = JobRecord {
+            phase,
+            spec,
+            ..job.record.clone()
+        };
+        serde_json::to_string(&record).unwrap()
+    };
+    let aborting = record(Phase::Aborting, false);
+    let aborted = record(Phase::Aborted, true);
+    let steps = [
+        (&aborting, 20, Stage::Queued),
+        (&aborted, 30, Stage::Aborted),
+        (&aborting, 20, Stage::Aborted),
+    ];
+    for (text, version, expected) in steps {
+        jobs.feed(&job_key(&id), Some(text), Revision(version), Millis(1));
+        assert_eq!(jobs.state(&id).unwrap().stage, expected, "at {version}");
+    }
+}
+
+#[test]
+fn the_next_tasks_to_place_are_found_over_pages() {
+    let waits = |tried| Task::Waiting {
+        tried: Attempt(tried),
+    };
+    let full = || vec![placed("vm-1"), Task::Done, placed("vm-2"), Task::Done];
+    let part = || vec![Task::Done, waits(3), placed("vm-1"), waits(0)];
+    type Case = (u32, Vec<(u32, Vec<Task>)>, Vec<u32>, Vec<(u32, u64)>);
+    let cases: Vec<Case> = vec![
+        // tasks, pages, about to be placed, the next three with their last attempts
+        (6, vec![], vec![], vec![(0, 0), (1, 0), (2, 0)]),
+        (6, vec![(0, full())], vec![], vec![(4, 0), (5, 0)]),
+        (9, vec![(0, part())], vec![], vec![(1, 3), (3, 0), (4, 0)]),
+        (
+            9,
+            vec![(0, part())],
+            vec![1, 4],
+            vec![(3, 0), (5, 0), (6, 0)],
+        ),
+        (4, vec![(0, full())], vec![], vec![]),
+    ];
+    for (tasks, pages, placing, expected) in cases {
+        let (mut jobs, id) = jobs(tasks, &pages);
+        for index in placing {
+            let Task::Placed(placement) = placed("vm-3") else {
+                unreachable!()
+            };
+            jobs.want(&id, index, Change::Place(placement));
+        }
+        let found = jobs.get(&id).unwrap().next_waiting(3);
+        let found: Vec<(u32, u64)> = found.into_iter().map(|(i, a)| (i, a.0)).collect();
+        assert_eq!(found, expected, "{tasks} tasks, {pages:?}");
+    }
+}
+
+/// The sums that cycles rest on are kept as tasks come and go; they must be what the records
+/// and the noted changes add up to.
+#[test]
+fn what_is_taken_of_a_machine_follows_its_tasks() {
+    let (mut jobs, id) = jobs(4, &[(0, vec![placed("vm-1"), placed("vm-1")])]);
+    assert!(!jobs.busy(&"vm-1".into()), "a page of the wrong length");
+    let page = |tasks: &[Task]| encode_page(tasks);
+    let first = [placed("vm-1"), placed("vm-1"), Task::FRESH, Task::FRESH];
+    let key = page_key(&id, 0);
+    jobs.feed(&key, Some(&page(&first)), Revision(3), Millis(1));
+    let each = jobs.get(&id).unwrap().spec.room.gpus;
+    let gpus = |jobs: &Jobs, host: &str| jobs.taken(&host.into()).gpus / each;
+    assert_eq!(gpus(&jobs, "vm-1"), 2.0);
+    let attempt = Attempt(1);
+    jobs.want(&id, 0, Change::Finish { attempt });
+    assert_eq!(gpus(&jobs, "vm-1"), 1.0, "one was seen to have left");
+    let used = |jobs: &Jobs| {
+        let team = jobs.get(&id).unwrap().spec.team.clone();
+        jobs.used_in(&team, &BlockId::parse("a.0").unwrap()).gpus / each
+    };
+    assert_eq!(used(&jobs), 2.0, "but it counts until that is written");
+    jobs.discard(&id, &[0]);
+    assert_eq!(gpus(&jobs, "vm-1"), 2.0, "it was not written");
+    jobs.want(&id, 0, Change::Finish { attempt });
+    let second = [Task::Done, placed("vm-1"), placed("vm-2"), Task::FRESH];
+    jobs.feed(&key, Some(&page(&second)), Revision(4), Millis(2));
+    jobs.discard(&id, &[0]);
+    assert_eq!((gpus(&jobs, "vm-1"), gpus(&jobs, "vm-2")), (1.0, 1.0));
+    assert_eq!(used(&jobs), 2.0);
+    jobs.feed(&key, None, Revision(5), Millis(3));
+    assert!(!jobs.busy(&"vm-1".into()) && !jobs.busy(&"vm-2".into()));
+}
--- /dev/null
+++ b/src/jobs/ends/tests.rs
@@ -0,0 +1,26 @@
+use super::*;
+use crate::jobs::cache::tests::jobs;
+
+/// An array of 25,000 tasks has ends in every report, and each look went through all that were
+/// noted: the processor was at its share for minutes. No change is left without a look.
+#[test]
+fn a_job_with_many_changes_is_looked_over_only_so_often() {
+    for (count, looks) in [(MANY as u32, 20), (MANY as u32 + 1, 5)] {
+        let (mut jobs, id) = jobs(4 * count, &[]);
+        for index in 0..count {
+            let attempt = Attempt(1);
+            jobs.want(&id, index, Change::Finish { attempt });
+        }
+        let job = jobs.get(&id).unwrap();
+        let mut ends = Ends::default();
+        let mut looked = 0;
+        // Twenty reports in two seconds.
+        for step in 1..=20 {
+            looked += u32::from(!ends.waits(job, Millis(step * 100)));
+        }
+        assert_eq!(looked, looks, "{count} changes");
+        let left = ends.due(Millis(2_500));
+        assert_eq!(left.len(), usize::from(count as usize > MANY));
+        assert!(ends.due(Millis(3_000)).is_empty(), "once");
+    }
+}
--- /dev/null
+++ b/src/jobs/record/tests.rs
@@ -0,0 +1,60 @@
+use super::*;
+
+fn placed(n: u64) -> Task {
+    Task::Placed(Placement {
+        host: format!("vm-{n:06}").as_str().into(),
+        block: BlockId::parse("a-long-zone-name.1").unwrap(),
+        session: Session(n),
+        attempt: Attempt(2),
+    })
+}
+
+#[test]
+fn pages_survive_writing_and_reading() {
+    let cases = [
+        vec![Task::FRESH; 128],
+        vec![Task::Done; 3],
+        vec![Task::FRESH, placed(1), placed(2), Task::Done, Task::Done],
+        vec![Task::Waiting { tried: Attempt(3) }, Task::FRESH],
+    ];
+    for tasks in cases {
+        let text = encode_page(&tasks);
+        assert_eq!(
+            decode_page(&text, tasks.len() as u32),
+            Some(tasks),
+            "{text}"
+        );
+    }
+    assert!(encode_page(&vec![Task::FRESH; 128]).len() < 20);
+}
+
+#[test]
+fn a_page_of_the_wrong_length_is_refused() {
+    for text in [
+        "[]",
+        "[{\"d\":1}]",
+        "nonsense",
+        "[{\"p\":[\"vm-1\",\"nodot\",1,1]},{\"d\":1}]",
+    ] {
+        assert_eq!(decode_page(text, 2), None, "{text}");
+    }
+}
+
+#[test]
+fn the_fullest_page_fits_one_value() {
+    for (value_kb, zone) in [(8.0, 18), (8.0, 100), (2.0, 18)] {
+        let name = "z".repeat(zone);
+        let task = Task::Placed(Placement {
+            host: "vm-000000000000231".into(),
+            block: BlockId::parse(&format!("{name}.63")).unwrap(),
+            session: Session(999_999_999),
+            attempt: Attempt(999_999_999),
+        });
+        let tasks = vec![task; page_size(value_kb, zone) as usize];
+        let size = encode_page(&tasks).len();
+        assert!(
+            size as f64 <= value_kb * 1024.0,
+            "{size} bytes for {value_kb} KiB"
+        );
+    }
+}
--- /dev/null
+++ b/src/preempt/tests.rs
@@ -0,0 +1,104 @@
+use super::*;
+
+fn room(gpus: f64) -> Room {
+    Room {
+        cpus: gpus,
+        gpus,
+        memory_gb: gpus,
+    }
+}
+
+fn site(host: &str, free: f64, victims: &[(u32, f64, Rank, f64, bool)]) -> Site {
+    Site {
+        host: host.into(),
+        free: room(free),
+        victims: victims
+            .iter()
+            .map(|(index, gpus, rank, waste_s, leaving)| Victim {
+                task: TaskId {
+                    job: "job-1".into(),
+                    index: *index,
+                },
+                room: room(*gpus),
+                rank: *rank,
+                waste_s: *waste_s,
+                leaving: *leaving,
+                lower: true,
+                team: None,
+                over: None,
+            })
+            .collect(),
+        delay_s: 0.0,
+        nested: false,
+    }
+}
+
+#[test]
+fn the_least_waste_of_the_lowest_priority_is_stopped() {
+    use Rank::{BestEffort, Normal, Urgent};
+    let cases = [
+        // sites, where, whom
+        (vec![site("a", 2.0, &[(0, 1.0, Normal, 5.0, false)])], None),
+        (
+            vec![site(
+                "a",
+                3.0,
+                &[(0, 1.0, Normal, 9.0, false), (1, 1.0, Normal, 5.0, false)],
+            )],
+            Some(("a", vec![1])),
+        ),
+        (
+            vec![
+                site("a", 3.0, &[(0, 1.0, Urgent, 1.0, false)]),
+                site("b", 0.0, &[(1, 4.0, BestEffort, 99.0, false)]),
+            ],
+            Some(("b", vec![1])),
+        ),
+        (
+            vec![
+                site("a", 3.0, &[(0, 1.0, Normal, 5.0, false)]),
+                site("b", 0.0, &[(1, 4.0, Normal, 50.0, true)]),
+            ],
+            Some(("b", vec![])),
+        ),
+        (
+            vec![site(
+                "a",
+                0.0,
+                &[(0, 1.0, Normal, 1.0, false), (1, 4.0, Normal, 5.0, false)],
+            )],
+            Some(("a", vec![1])),
+        ),
+        // A free machine without the image is no better than a moment's work that stops.
+        (
+            vec![
+                Site {
+                    delay_s: 58.0,
+                    ..site("a", 4.0, &[])
+                },
+                site("b", 3.0, &[(0, 1.0, Normal, 5.0, false)]),
+            ],
+            Some(("b", vec![0])),
+        ),
+        (
+            vec![
+                Site {
+                    delay_s: 58.0,
+                    ..site("a", 4.0, &[])
+                },
+                site("b", 3.0, &[(0, 1.0, Urgent, 5.0, false)]),
+            ],
+            Some(("a", vec![])),
+        ),
+    ];
+    for (index, (sites, expected)) in cases.into_iter().enumerate() {
+        let got = choose(room(4.0), sites);
+        let got = got.as_ref().map(|offer| {
+            (
+                offer.host.as_str(),
+                offer.victims.iter().map(|t| t.index).collect::<Vec<_>>(),
+            )
+        });
+        assert_eq!(got, expected, "case {index}");
+    }
+}
--- /dev/null
+++ b/src/queue/tests.rs
@@ -0,0 +1,142 @@
+use super::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::cmp::Reverse;
+
+fn order(rank: Rank, born: u64) -> Order {
+    Order {
+        beyond_guarantee: true,
+        rank: Reverse(rank),
+        born: Millis(born),
+        flow: Flow { class: 0, team: 0 },
+    }
+}
+
+fn queue() -> (Queue, SmallRng) {
+    let queue = Queue::new(Millis(1_000), Millis(10_000), Millis(30_000));
+    (queue, SmallRng::seed_from_u64(1))
+}
+
+#[test]
+fn the_guaranteed_go_first_then_priority_then_age() {
+    let (mut queue, _) = queue();
+    let guaranteed = Order {
+        beyond_guarantee: false,
+        ..order(Rank::BestEffort, 9)
+    };
+    let jobs = [
+        ("job-1", order(Rank::Normal, 1)),
+        ("job-2", order(Rank::Critical, 5)),
+        ("job-3", order(Rank::Critical, 4)),
+        ("job-4", guaranteed),
+        ("job-5", order(Rank::Normal, 0)),
+    ];
+    for (job, order) in jobs {
+        queue.push(&job.into(), order);
+    }
+    let popped: Vec<String> = std::iter::from_fn(|| queue.pop())
+        .map(|(job, _)| job.to_string())
+        .collect();
+    assert_eq!(popped, ["job-4", "job-3", "job-2", "job-5", "job-1"]);
+}
+
+/// A swarm at top priority took all cycles, so nothing else was placed though it had room.
+#[test]
+fn while_changes_are_short_every_class_and_team_has_its_floor() {
+    let (mut queue, _) = queue();
+    let flow = |class, team| Flow { class, team };
+    let jobs = [
+        (Rank::Critical, flow(0, 0), 0..900),
+        (Rank::Critical, flow(0, 1), 900..1_000),
+        (Rank::Normal, flow(1, 0), 1_000..1_100),
+    ];
+    for (rank, flow, ids) in jobs {
+        for n in ids {
+            let order = Order {
+                flow,
+                ..order(rank, n)
+            };
+            queue.push(&format!("job-{n}").as_str().into(), order);
+        }
+    }
+    let mut served = [0; 3];
+    for _ in 0..100 {
+        let (job, _) = queue.pop_fair().unwrap();
+        let n: u64 = job.as_str()[4..].parse().unwrap();
+        let (index, flow) = match n {
+            0..900 => (0, flow(0, 0)),
+            900..1_000 => (1, flow(0, 1)),
+            _ => (2, flow(1, 0)),
+        };
+        served[index] += 1;
+        queue.served(flow);
+    }
+    assert!(served[1] >= 15 && served[2] >= 22, "{served:?}");
+    // Not short: priority and age alone.
+    assert!(queue.pop().unwrap().0.as_str() < "job-900");
+}
+
+#[test]
+fn backoff_doubles_up_to_its_most() {
+    let (mut queue, mut rng) = queue();
+    let job = JobId::from("job-1");
+    for (fails, least, most) in [(0, 1_000, 1_100), (1, 2_000, 2_200), (9, 10_000, 11_000)] {
+        let order = order(Rank::Normal, 0);
+        queue.fail(&job, fails, BTreeSet::new(), order, Millis(0), &mut rng);
+        queue.tick(Millis(least - 1));
+        assert!(queue.pop().is_none(), "too early after {fails}");
+        queue.tick(Millis(most));
+        assert_eq!(queue.pop(), Some((job.clone(), fails + 1)));
+    }
+}
+
+#[test]
+fn only_the_rejecting_checks_judge_an_event() {
+    let cases = [
+        // rejecting check, check that the event satisfies, time of the event, when active
+        (Check::Room, Check::Room, 500, Some(1_200)),
+        (Check::Room, Check::Room, 5_000, Some(5_000)),
+        (Check::Room, Check::Team, 5_000, None),
+        (Check::Team, Check::Team, 5_000, Some(5_000)),
+    ];
+    for (rejected, satisfied, at, active) in cases {
+        let (mut queue, mut rng) = queue();
+        let job = JobId::from("job-1");
+        let order = order(Rank::Normal, 0);
+        queue.fail(
+            &job,
+            0,
+            BTreeSet::from([rejected]),
+            order,
+            Millis(0),
+            &mut rng,
+        );
+        queue.wake(Millis(at), |_, check| check == satisfied);
+        queue.tick(Millis(at));
+        let early = queue.pop().is_some();
+        assert_eq!(early, active == Some(at), "{rejected:?} {satisfied:?} {at}");
+        if let Some(active) = active.filter(|_| !early) {
+            queue.tick(Millis(active));
+            assert!(queue.pop().is_some(), "{rejected:?} {satisfied:?} {at}");
+        }
+    }
+}
+
+#[test]
+fn the_flush_frees_what_no_event_woke() {
+    let (mut queue, mut rng) = queue();
+    let job = JobId::from("job-1");
+    let order = order(Rank::Normal, 0);
+    queue.fail(
+        &job,
+        0,
+        BTreeSet::from([Check::Room]),
+        order,
+        Millis(0),
+        &mut rng,
+    );
+    queue.tick(Millis(29_999));
+    assert!(queue.pop().is_none());
+    queue.tick(Millis(30_000));
+    assert!(queue.pop().is_some());
+}
