--- /dev/null
+++ b/crates/admission/src/floors/tests.rs
@@ -0,0 +1,66 @@
+use super::*;
+
+/// Serves `steps` units; each flow asks as long as `asks` says so. Returns how often each was.
+fn play(
+    floors: &mut Floors<u8>,
+    steps: usize,
+    flows: u8,
+    asks: impl Fn(usize, u8) -> bool,
+) -> Vec<usize> {
+    let mut served = vec![0; usize::from(flows)];
+    for step in 0..steps {
+        let waiting: Vec<u8> = (0..flows).filter(|flow| asks(step, *flow)).collect();
+        // The lowest number has the highest priority.
+        let Some(next) = floors.next(waiting.iter().map(|flow| (*flow, *flow))) else {
+            continue;
+        };
+        served[usize::from(next)] += 1;
+        floors.served(&next, 1.0, waiting);
+    }
+    served
+}
+
+#[test]
+fn a_swarm_at_top_priority_leaves_the_others_their_floor() {
+    let cases: [(f64, u8, [usize; 4]); 4] = [
+        // part, flows, least served of 1,000
+        (0.0, 4, [1_000, 0, 0, 0]),
+        (0.5, 4, [600, 120, 120, 120]),
+        (0.5, 2, [740, 245, 0, 0]),
+        (1.0, 4, [240, 240, 240, 240]),
+    ];
+    for (part, flows, least) in cases {
+        let served = play(&mut Floors::equal(part), 1_000, flows, |_, _| true);
+        for (flow, count) in served.iter().enumerate() {
+            assert!(*count >= least[flow], "{part}: {served:?}");
+        }
+    }
+}
+
+#[test]
+fn what_nobody_asks_for_is_lent_and_comes_back_at_once() {
+    // The second flow asks for nothing in the first half.
+    let asks = |step: usize, flow: u8| flow != 1 || step >= 500;
+    let mut floors = Floors::equal(0.6);
+    let half = play(&mut floors, 500, 3, asks);
+    assert!(half[1] == 0 && half[0] + half[2] == 500, "{half:?}");
+    let soon = play(&mut floors, 20, 3, |_, _| true);
+    // Its floor, and no more for the time when it did not ask.
+    assert!((3..=5).contains(&soon[1]), "{soon:?}");
+}
+
+#[test]
+fn weights_divide_the_floors_and_large_units_are_paid_for() {
+    let weight: fn(&u8) -> f64 = |flow| if *flow == 0 { 1.0 } else { 3.0 };
+    let mut floors = Floors::weighted(1.0, weight);
+    let mut units = [0.0, 0.0];
+    for _ in 0..1_000 {
+        let next = floors.next([(0u8, 0), (1u8, 1)]).unwrap();
+        // The first flow's requests are large.
+        let size = if next == 0 { 4.0 } else { 1.0 };
+        units[usize::from(next)] += size;
+        floors.served(&next, size, [0, 1]);
+    }
+    let part = units[1] / (units[0] + units[1]);
+    assert!((0.6..0.8).contains(&part), "{part}");
+}
--- /dev/null
+++ b/crates/admission/src/gate/tests.rs
@@ -0,0 +1,71 @@
+use super::*;
+
+/// Users come at `rates` a second by class for so many seconds, and those who are sent away
+/// come back when they were told, for a minute. Taken are written at 10 a second. Returns how
+/// many of each class came and were taken, and how often anybody was sent away.
+fn play(rates: &[f64], seconds: u64) -> (Vec<(u32, u32)>, u32) {
+    let mut gate = Gate::default();
+    let mut users: Vec<(f64, f64, Slot)> = Vec::new();
+    let mut counts = vec![(0, 0); rates.len()];
+    for (class, rate) in rates.iter().enumerate() {
+        let count = (rate * seconds as f64) as u32;
+        counts[class].0 = count;
+        users.extend((0..count).map(|n| {
+            let at = f64::from(n) / rate;
+            (at, at, class as Slot)
+        }));
+    }
+    let (mut pending, mut sent_away, mut luck) = (0.0_f64, 0, 0.0);
+    for step in 0..(seconds + 70) * 20 {
+        let now = step as f64 / 20.0;
+        pending = (pending - 0.5).max(0.0);
+        for user in &mut users {
+            let (first, at, class) = *user;
+            if at > now {
+                continue;
+            }
+            luck = (luck + 0.381_966) % 1.0;
+            match gate.ask(class, false, pending as usize, 20.0, now, luck) {
+                Ok(()) => {
+                    pending += 1.0;
+                    counts[usize::from(class)].1 += 1;
+                    user.1 = f64::INFINITY;
+                }
+                Err(pause) => {
+                    sent_away += 1;
+                    let back = now + f64::from(pause);
+                    user.1 = if back - first > 60.0 {
+                        f64::INFINITY
+                    } else {
+                        back
+                    };
+                }
+            }
+        }
+    }
+    (counts, sent_away)
+}
+
+#[test]
+fn a_burst_is_taken_in_time_and_nobody_is_sent_away_often() {
+    // 300 come in two seconds.
+    let (counts, sent_away) = play(&[150.0], 2);
+    assert_eq!(counts, [(300, 300)]);
+    assert!(sent_away < 1_500, "{sent_away}");
+}
+
+#[test]
+fn a_swarm_of_one_class_does_not_keep_the_others_out() {
+    let (counts, _) = play(&[60.0, 1.0, 1.0], 60);
+    let share = |class: usize| f64::from(counts[class].1) / f64::from(counts[class].0);
+    assert!(share(1) > 0.95 && share(2) > 0.95, "{counts:?}");
+    // What can be written is.
+    let taken: u32 = counts.iter().map(|(_, taken)| taken).sum();
+    assert!(taken > 550, "{counts:?}");
+}
+
+#[test]
+fn with_little_to_do_all_are_taken_at_once() {
+    let (counts, sent_away) = play(&[4.0, 3.0], 30);
+    assert!(counts.iter().all(|(came, taken)| came == taken) && sent_away == 0);
+}
--- /dev/null
+++ b/crates/admission/src/plan/tests.rs
@@ -0,0 +1,75 @@
+use super::*;
+
+fn controllers(rows: &[(Standing, f64, f64)]) -> Vec<(String, Standing, Demand)> {
+    let rows = rows.iter().enumerate();
+    rows.map(|(n, (standing, used, waiting))| {
+        let (used, waiting) = (*used, *waiting);
+        (format!("n{n}"), *standing, Demand { used, waiting })
+    })
+    .collect()
+}
+
+fn shares(plan: &Plan) -> Vec<f64> {
+    let rounded = |share: &f64| (share * 10.0).round() / 10.0;
+    plan.shares.values().map(rounded).collect()
+}
+
+#[test]
+fn shares_follow_demand_and_the_rest_is_even() {
+    use Standing::{Gone, Obeys};
+    let cases = [
+        (vec![(Obeys, 0.0, 0.0); 3], vec![10.0, 10.0, 10.0]),
+        (
+            // Each has a base of 3; one asks for all there is.
+            vec![(Obeys, 0.0, 0.0), (Obeys, 0.0, 0.0), (Obeys, 9.0, 300.0)],
+            vec![3.0, 3.0, 24.0],
+        ),
+        (
+            vec![(Obeys, 8.0, 0.0), (Obeys, 8.0, 0.0), (Obeys, 3.0, 0.0)],
+            vec![11.7, 11.7, 6.7],
+        ),
+        (
+            vec![(Obeys, 5.0, 0.0), (Gone, 9.0, 90.0), (Obeys, 5.0, 0.0)],
+            vec![13.5, 3.0, 13.5],
+        ),
+    ];
+    for (rows, expected) in cases {
+        let rows = controllers(&rows);
+        // Several plans on: what had to fall first has fallen.
+        let plan = (0..4).fold(Plan::default(), |plan, _| plan.next(30.0, &rows));
+        assert_eq!(shares(&plan), expected, "{rows:?}");
+    }
+}
+
+#[test]
+fn a_share_rises_only_by_what_surely_nobody_uses() {
+    use Standing::{Gone, Late, Obeys};
+    let hungry = |standings: [Standing; 2]| {
+        controllers(&[(standings[0], 0.0, 0.0), (standings[1], 10.0, 500.0)])
+    };
+    // The first has most of it, and asks for nothing any more.
+    let rich = [("n0", 24.0), ("n1", 6.0)].map(|(n, share)| (n.to_string(), share));
+    let plan = Plan {
+        shares: rich.clone().into(),
+        most: rich.into(),
+    };
+    for (first, after) in [(Late, 6.0), (Obeys, 6.0), (Gone, 25.5)] {
+        let next = plan.next(30.0, &hungry([first, Obeys]));
+        assert_eq!(shares(&next)[1], after, "{first:?}");
+        // Told of the new plan, it makes room.
+        let then = next.next(30.0, &hungry([Obeys, Obeys]));
+        assert_eq!(shares(&then)[1], 25.5, "{first:?}");
+        let late = next.next(30.0, &hungry([Late, Obeys]));
+        assert_eq!(shares(&late)[1], after, "{first:?}");
+    }
+}
+
+#[test]
+fn small_differences_are_not_worth_a_change() {
+    let row =
+        |waiting| controllers(&[(Standing::Obeys, 5.0, 0.0), (Standing::Obeys, 5.0, waiting)]);
+    let plan = Plan::default().next(30.0, &row(0.0));
+    assert!(plan.matters(&Plan::default(), 30.0));
+    assert!(!plan.next(30.0, &row(6.0)).matters(&plan, 30.0));
+    assert!(plan.next(30.0, &row(60.0)).matters(&plan, 30.0));
+}
--- /dev/null
+++ b/crates/admission/src/slots/tests.rs
@@ -0,0 +1,13 @@
+use super::*;
+
+#[test]
+fn known_names_are_told_apart_and_made_up_ones_are_bounded() {
+    let names = ["b", "a", "b", "c"].map(String::from);
+    let slots = Slots::new(names);
+    let known: Vec<Slot> = ["a", "b", "c"].map(|name| slots.of(name)).to_vec();
+    assert_eq!(known, [0, 1, 2]);
+    assert_eq!((slots.name(1), slots.name(3)), (Some("b"), None));
+    let made_up: std::collections::BTreeSet<Slot> =
+        (0..10_000).map(|n| slots.of(&format!("x{n}"))).collect();
+    assert!(made_up.len() <= usize::from(UNKNOWN) && made_up.iter().all(|slot| *slot > 2));
+}
--- /dev/null
+++ b/crates/quota/src/divide/tests.rs
@@ -0,0 +1,80 @@
+use super::*;
+
+fn gpus(floor: f64, demand: f64, weight: f64) -> Claim {
+    Claim {
+        floor: Amount::new(0.0, floor),
+        demand: Amount::new(0.0, demand),
+        weight,
+    }
+}
+
+#[test]
+fn what_is_left_over_goes_by_weight() {
+    let cases = [
+        // pool, claims, what each gets
+        (10.0, vec![gpus(0.0, 20.0, 1.0)], vec![10.0]),
+        (10.0, vec![gpus(0.0, 4.0, 1.0)], vec![4.0]),
+        (
+            12.0,
+            vec![gpus(0.0, 20.0, 1.0), gpus(0.0, 20.0, 2.0)],
+            vec![4.0, 8.0],
+        ),
+        // What one does not want goes to the others.
+        (
+            12.0,
+            vec![gpus(0.0, 20.0, 1.0), gpus(0.0, 3.0, 2.0)],
+            vec![9.0, 3.0],
+        ),
+        // A floor above its fair share is kept; the others share the rest.
+        (
+            12.0,
+            vec![
+                gpus(8.0, 8.0, 1.0),
+                gpus(0.0, 9.0, 1.0),
+                gpus(0.0, 9.0, 1.0),
+            ],
+            vec![8.0, 2.0, 2.0],
+        ),
+        // A floor below its fair share changes nothing.
+        (
+            12.0,
+            vec![gpus(2.0, 9.0, 1.0), gpus(0.0, 9.0, 1.0)],
+            vec![6.0, 6.0],
+        ),
+        (0.0, vec![gpus(0.0, 9.0, 1.0)], vec![0.0]),
+    ];
+    for (pool, claims, expected) in cases {
+        let got = divide(Amount::new(0.0, pool), [false, true], &claims);
+        let near = got.iter().zip(&expected);
+        let near = near.into_iter().all(|(a, b)| (a.gpus - b).abs() < 1e-6);
+        assert!(near, "{claims:?}: {got:?}, not {expected:?}");
+    }
+}
+
+/// The example that dominant-resource fairness is known by: 9 CPUs and 18 of the other, tasks
+/// of (1, 4) and of (3, 1): three of the one and two of the other.
+#[test]
+fn dominant_shares_are_equal() {
+    let claim = |cpus: f64, gpus: f64| Claim {
+        floor: Amount::ZERO,
+        demand: Amount::new(cpus, gpus),
+        weight: 1.0,
+    };
+    let claims = [claim(100.0, 400.0), claim(300.0, 100.0)];
+    let got = divide(Amount::new(9.0, 18.0), [true, true], &claims);
+    assert!((got[0].gpus - 12.0).abs() < 1e-6, "{got:?}");
+    assert!((got[1].cpus - 6.0).abs() < 1e-6, "{got:?}");
+}
+
+#[test]
+fn an_amount_that_is_used_up_stops_only_those_who_need_it() {
+    let claim = |cpus: f64, gpus: f64| Claim {
+        floor: Amount::ZERO,
+        demand: Amount::new(cpus, gpus),
+        weight: 1.0,
+    };
+    let claims = [claim(20.0, 0.0), claim(0.0, 5.0), claim(20.0, 0.0)];
+    let got = divide(Amount::new(10.0, 10.0), [true, true], &claims);
+    assert!((got[0].cpus - 5.0).abs() < 1e-6, "{got:?}");
+    assert!((got[1].gpus - 5.0).abs() < 1e-6, "{got:?}");
+}
--- /dev/null
+++ b/crates/quota/src/shares/tests.rs
@@ -0,0 +1,235 @@
+use super::*;
+use crate::tree::TreeSpec;
+
+const TREE: &str = "[tree]\nrevision = 1\nhold_s = 5\n\
+    [node coop]\ngpus = 32\n\
+    [node east]\nparent = coop\ngpus = 16\n\
+    [node west]\nparent = coop\ngpus = 16\ngpus_max = 24\n\
+    [node e1]\nparent = east\nteam = e1\ngpus = 8\n\
+    [node e2]\nparent = east\nteam = e2\nweight = 3\n\
+    [node w1]\nparent = west\nteam = w1\ngpus = 12\n\
+    [node w2]\nparent = west\nteam = w2\n";
+
+fn shares() -> Shares {
+    let spec = TreeSpec::parse("f", TREE).unwrap();
+    Shares::new(Arc::new(spec.build("f", &[]).unwrap().0))
+}
+
+fn gpus(gpus: f64) -> Amount {
+    Amount::new(0.0, gpus)
+}
+
+fn leaf(shares: &Shares, team: &str) -> NodeIx {
+    shares.tree.leaf(team).unwrap()
+}
+
+fn set(shares: &mut Shares, demands: &[(&str, f64)], now: u64) {
+    for (team, demand) in demands {
+        let leaf = leaf(shares, team);
+        shares.set_demand(leaf, gpus(*demand), now);
+    }
+    shares.refresh();
+}
+
+#[test]
+fn unused_share_is_lent_and_comes_back() {
+    type Case<'a> = (&'a str, &'a [(&'a str, f64)], &'a [(&'a str, f64)]);
+    let cases: &[Case] = &[
+        ("alone, a team has all", &[("e1", 99.0)], &[("e1", 32.0)]),
+        (
+            "a sibling takes its own share back, by weight beyond guarantees",
+            &[("e1", 99.0), ("e2", 99.0)],
+            // 8 guaranteed is just what weight 1 of 4 gives of 32.
+            &[("e1", 8.0), ("e2", 24.0)],
+        ),
+        (
+            "members are equal, teams inside share by weight, no less than guaranteed",
+            &[("e1", 99.0), ("e2", 99.0), ("w2", 99.0)],
+            &[("e1", 8.0), ("e2", 8.0), ("w2", 16.0)],
+        ),
+        (
+            "a limit of a member holds for all its teams",
+            &[("w1", 20.0), ("w2", 20.0)],
+            &[("w1", 12.0), ("w2", 12.0)],
+        ),
+        (
+            "what one member leaves goes to the other",
+            &[("e2", 2.0), ("w1", 99.0)],
+            &[("e2", 2.0), ("w1", 24.0)],
+        ),
+    ];
+    for (name, demands, expected) in cases {
+        let mut shares = shares();
+        set(&mut shares, demands, 0);
+        for (team, amount) in *expected {
+            let got = shares.entitled(leaf(&shares, team)).gpus;
+            assert!((got - amount).abs() < 1e-6, "{name}: {team} has {got}");
+        }
+    }
+}
+
+/// A borrower whose jobs come one after the other asks for nothing in between. Without the
+/// hold its share went away and came back with each of them.
+#[test]
+fn demand_that_falls_counts_for_a_while() {
+    let mut shares = shares();
+    let (e1, w1) = (leaf(&shares, "e1"), leaf(&shares, "w1"));
+    set(&mut shares, &[("e1", 32.0), ("w1", 32.0)], 0);
+    let steps = [
+        // when, e1's demand, what w1 is entitled to
+        (1_000, 0.0, 16.0),
+        (3_000, 32.0, 16.0),
+        (4_000, 0.0, 16.0),
+        (8_900, 0.0, 16.0),
+        (9_000, 0.0, 24.0),
+        (9_100, 32.0, 16.0),
+    ];
+    for (now, demand, expected) in steps {
+        set(&mut shares, &[("e1", demand)], now);
+        let got = shares.entitled(w1).gpus;
+        assert!((got - expected).abs() < 1e-6, "{got} at {now}");
+    }
+    assert_eq!(shares.demand(e1).gpus, 32.0);
+}
+
+#[test]
+fn who_may_reclaim_from_whom() {
+    let one = Wanted {
+        total: gpus(1.0),
+        task: gpus(1.0),
+    };
+    let of = |total: f64, task: f64| Wanted {
+        total: gpus(total),
+        task: gpus(task),
+    };
+    type Case<'a> = (
+        &'a str,
+        &'a [(&'a str, f64)],
+        &'a str,
+        f64,
+        &'a str,
+        Wanted,
+        bool,
+    );
+    let all: &[(&str, f64)] = &[("e1", 20.0), ("e2", 0.0), ("w1", 4.0), ("w2", 8.0)];
+    let cases: &[Case] = &[
+        // name, use, from, its task, by, what it wants, allowed
+        (
+            "a borrower in another member",
+            all,
+            "e1",
+            1.0,
+            "w1",
+            one,
+            true,
+        ),
+        ("a borrower beside it", all, "e1", 1.0, "e2", one, true),
+        (
+            "not from one within its share",
+            all,
+            "w1",
+            1.0,
+            "e2",
+            one,
+            false,
+        ),
+        (
+            "not for one beyond its share",
+            all,
+            "w1",
+            1.0,
+            "e1",
+            one,
+            false,
+        ),
+        (
+            "not for more than its member's share",
+            all,
+            "e1",
+            4.0,
+            "w1",
+            of(8.0, 4.0),
+            false,
+        ),
+        // w2 is over its share of 4, but its member is not over: only w1 may take from it.
+        (
+            "beside it, over inside its member",
+            all,
+            "w2",
+            1.0,
+            "w1",
+            one,
+            true,
+        ),
+        (
+            "not from a member within its share",
+            all,
+            "w2",
+            1.0,
+            "e2",
+            one,
+            false,
+        ),
+        (
+            "not below the nearest task",
+            &[("e1", 8.4)],
+            "e1",
+            1.0,
+            "e2",
+            one,
+            false,
+        ),
+        ("a whole gang", all, "w2", 4.0, "w1", of(8.0, 4.0), true),
+        (
+            "not a gang that is too large",
+            all,
+            "w2",
+            4.0,
+            "w1",
+            of(12.0, 4.0),
+            false,
+        ),
+        (
+            "one task larger than the share",
+            &[("e1", 20.0), ("e2", 0.0)],
+            "e1",
+            1.0,
+            "e2",
+            of(16.0, 16.0),
+            true,
+        ),
+        (
+            "but not two of them",
+            &[("e1", 20.0), ("e2", 1.0)],
+            "e1",
+            1.0,
+            "e2",
+            of(16.0, 16.0),
+            false,
+        ),
+        (
+            "nor is a team's only task stopped for it",
+            &[("w2", 16.0)],
+            "w2",
+            16.0,
+            "w1",
+            one,
+            false,
+        ),
+    ];
+    for (name, uses, from, task, by, wanted, allowed) in cases {
+        let mut shares = shares();
+        let demands = [("e1", 99.0), ("e2", 8.0), ("w1", 99.0), ("w2", 99.0)];
+        set(&mut shares, &demands, 0);
+        let used = |ix: NodeIx| {
+            let team = |(team, _): &&(&str, f64)| {
+                let leaf = leaf(&shares, team);
+                shares.tree.path(leaf).any(|at| at == ix)
+            };
+            gpus(uses.iter().filter(team).map(|(_, used)| used).sum())
+        };
+        let (from, by) = (leaf(&shares, from), leaf(&shares, by));
+        let got = shares.may_reclaim(from, gpus(*task), by, *wanted, used);
+        assert_eq!(got, *allowed, "{name}");
+    }
+}
--- /dev/null
+++ b/src/quota/nested/tests.rs
@@ -0,0 +1,139 @@
+use super::*;
+
+fn team(name: &str, gpus: f64, gpus_max: f64) -> TeamSettings {
+    TeamSettings {
+        name: name.into(),
+        cpus: 0.0,
+        cpus_max: 0.0,
+        gpus,
+        gpus_max,
+    }
+}
+
+fn spec(revision: u64, limit: u32) -> TreeSpec {
+    let text = format!(
+        "[tree]\nrevision = {revision}\n[node top]\ngpus_max = {limit}\n\
+         [node a]\nparent = top\nteam = a\ngpus_max = 6\n[node b]\nparent = top\nteam = b\n"
+    );
+    TreeSpec::parse("f", &text).unwrap()
+}
+
+fn nested(file: Option<&TreeSpec>) -> Nested {
+    Nested::new(&[team("a", 2.0, 0.0), team("b", 0.0, 0.0)], file, 0.2)
+}
+
+/// A state service of one client.
+fn write(nested: &mut Nested, others: &mut [&mut Nested], revision: &mut u64) -> usize {
+    let mut writes = 0;
+    loop {
+        let changes = match nested.owed(1) {
+            Owed::Nothing => return writes,
+            Owed::Pages(pages) => pages,
+            Owed::Head(text, _) => vec![(HEAD.to_string(), text)],
+        };
+        for (key, text) in changes {
+            *revision += 1;
+            writes += 1;
+            nested.feed(&key, Some(&text), Revision(*revision));
+            for other in others.iter_mut() {
+                other.feed(&key, Some(&text), Revision(*revision));
+            }
+        }
+    }
+}
+
+#[test]
+fn the_highest_revision_comes_into_force_everywhere() {
+    let (old, new, odd) = (spec(1, 8), spec(2, 12), spec(2, 99));
+    let (mut holds_old, mut holds_new) = (nested(Some(&old)), nested(Some(&new)));
+    let (mut holds_odd, mut has_none) = (nested(Some(&odd)), nested(None));
+    let mut revision = 10;
+    let first = {
+        let mut others = [&mut holds_new, &mut holds_odd, &mut has_none];
+        write(&mut holds_old, &mut others, &mut revision)
+    };
+    assert!(first > 2, "{first} writes: pages and a head");
+    assert_eq!(holds_new.standing(), Standing::New);
+    assert_eq!(has_none.limits(&"b".into())[0].gpus_max, 8.0);
+    let mut others = [&mut holds_old, &mut holds_odd, &mut has_none];
+    write(&mut holds_new, &mut others, &mut revision);
+    let all = [&holds_old, &holds_new, &holds_odd, &has_none];
+    let standings = [
+        Standing::Old,
+        Standing::InForce,
+        Standing::Differs,
+        Standing::None,
+    ];
+    for (nested, standing) in all.into_iter().zip(standings) {
+        assert_eq!(nested.standing(), standing);
+        assert!(nested.settled());
+        assert_eq!(nested.version(), Revision(revision));
+        assert_eq!(nested.limits(&"b".into())[0].gpus_max, 12.0);
+        assert_eq!(nested.owed(9), Owed::Nothing);
+    }
+    // Its pages are of no more use; those of the tree in force are.
+    assert_eq!(has_none.leftovers().count(), first - 1);
+}
+
+/// Other controllers could not make sense of pages that came back with their keys in another
+/// order, and placed nothing any more.
+#[test]
+fn pages_that_come_back_written_in_another_way_are_the_same() {
+    let file = spec(4, 8);
+    let (mut writer, mut reader) = (nested(Some(&file)), nested(None));
+    write(&mut writer, &mut [], &mut 10);
+    for (key, (text, version)) in writer.pages.clone() {
+        let value: serde_json::Value = serde_json::from_str(&text).unwrap();
+        let other = serde_json::to_string_pretty(&value).unwrap();
+        assert_ne!(text, other);
+        reader.feed(&key, Some(&other), version);
+    }
+    let head = serde_json::to_string_pretty(writer.head.as_ref().unwrap()).unwrap();
+    assert!(reader.feed(HEAD, Some(&head), writer.head_version));
+    assert!(reader.settled());
+}
+
+/// A list brings the head before its pages. What was decided by the tree before must not be
+/// written, so decisions keep to the version that they rest on.
+#[test]
+fn a_head_without_its_pages_is_not_in_force() {
+    let new = spec(3, 8);
+    let mut writer = nested(Some(&new));
+    let mut revision = 10;
+    write(&mut writer, &mut [], &mut revision);
+    let mut reader = nested(None);
+    let head = serde_json::to_string(writer.head.as_ref().unwrap()).unwrap();
+    assert!(!reader.feed(HEAD, Some(&head), Revision(revision)));
+    assert!(!reader.settled());
+    assert_eq!(reader.version(), Revision(0));
+    let pages: Vec<_> = writer.pages.clone().into_iter().collect();
+    for (index, (key, (text, version))) in pages.iter().enumerate() {
+        let last = index == pages.len() - 1;
+        assert_eq!(reader.feed(key, Some(text), *version), last);
+    }
+    assert_eq!(reader.version(), Revision(revision));
+    assert_eq!(reader.limits(&"a".into()).len(), 2);
+}
+
+#[test]
+fn limits_of_every_level_cap_a_team() {
+    let file = spec(1, 8);
+    let mut nested = nested(Some(&file));
+    let flat = nested.limits(&"a".into());
+    assert!(flat.is_empty(), "{flat:?}");
+    write(&mut nested, &mut [], &mut 10);
+    let names = |team: &str| -> Vec<String> {
+        let limits = nested.limits(&team.into()).iter();
+        limits
+            .map(|l| format!("{} {}", l.name, l.gpus_max))
+            .collect()
+    };
+    assert_eq!(names("a"), ["a 6", "#top 8"]);
+    assert_eq!(names("b"), ["#top 8"]);
+    assert_eq!(nested.limited().len(), 2);
+    assert!(nested.related(&"a".into(), &"b".into()));
+    let off = TreeSpec::parse("f", "[tree]\nrevision = 2\nenabled = no\n").unwrap();
+    nested.file = Some(paged(&off, 8.0));
+    write(&mut nested, &mut [], &mut 100);
+    assert!(nested.force().is_none() && nested.limits(&"b".into()).is_empty());
+}
--- /dev/null
+++ b/src/quota/tests.rs
@@ -0,0 +1,102 @@
+use super::*;
+
+/// Holders place as much as their shares allow, the leader sees that late, and deals every now
+/// and then: the sum must never exceed the limit.
+#[test]
+fn the_sum_of_all_blocks_keeps_the_limit_however_late_the_leader_sees_them() {
+    use rand::rngs::SmallRng;
+    use rand::{Rng, SeedableRng};
+    for seed in 0..40 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let team = TeamSettings {
+            name: "a".into(),
+            cpus: 0.0,
+            cpus_max: 0.0,
+            gpus: 0.0,
+            gpus_max: [16.0, 80.0, 700.0][seed as usize % 3],
+        };
+        let least = Room {
+            gpus: 4.0,
+            ..Room::default()
+        };
+        let mut share = [0.0f64; 6];
+        let mut used = [0.0f64; 6];
+        let mut most: f64 = 0.0;
+        for _ in 0..300 {
+            // The leader's look is newer than all shares.
+            let seen = used;
+            let place = |rng: &mut SmallRng, used: &mut [f64; 6], share: &[f64; 6]| {
+                for block in 0..6 {
+                    let room = f64::from(rng.random_range(1..=4u8));
+                    if rng.random_bool(0.6) && used[block] + room <= share[block] {
+                        used[block] += room;
+                    } else if rng.random_bool(0.2) {
+                        used[block] = (used[block] - room).max(0.0);
+                    }
+                }
+            };
+            place(&mut rng, &mut used, &share);
+            let blocks: Vec<Dealt> = (0..6)
+                .map(|b| Dealt {
+                    share: Share {
+                        cpus: 0.0,
+                        gpus: share[b],
+                    },
+                    used: Share {
+                        cpus: 0.0,
+                        gpus: seen[b],
+                    },
+                    live: b != 5,
+                })
+                .collect();
+            if rng.random_bool(0.3) && covers(slack(&team, &blocks), least) {
+                // The leader places in a block, and raises its share by as much.
+                let block = rng.random_range(0..6);
+                let room = |gpus| Room {
+                    gpus,
+                    ..Room::default()
+                };
+                let raised = raised(blocks[block].share, room(seen[block]), least, false);
+                share[block] = raised.gpus;
+                used[block] += 4.0;
+            } else {
+                for (block, dealt) in deal(&team, least, &blocks).into_iter().enumerate() {
+                    share[block] = dealt.gpus;
+                }
+            }
+            place(&mut rng, &mut used, &share);
+            let sum: f64 = used.iter().sum();
+            assert!(sum <= team.gpus_max + 1e-6, "seed {seed}: {used:?}");
+            most = most.max(sum);
+        }
+        assert!(most >= team.gpus_max * 0.5, "seed {seed}: {most} at most");
+    }
+}
+
+#[test]
+fn limits_and_guarantees() {
+    let team = |cpus, cpus_max, gpus, gpus_max| TeamSettings {
+        name: "a".into(),
+        cpus,
+        cpus_max,
+        gpus,
+        gpus_max,
+    };
+    let room = |cpus, gpus| Room {
+        cpus,
+        gpus,
+        memory_gb: 1e9,
+    };
+    let cases = [
+        // team, use, within the limit, within the guarantee
+        (team(0.0, 0.0, 0.0, 0.0), room(1e6, 1e6), true, false),
+        (team(0.0, 0.0, 16.0, 48.0), room(1e6, 16.0), true, true),
+        (team(0.0, 0.0, 16.0, 48.0), room(1.0, 17.0), true, false),
+        (team(0.0, 0.0, 16.0, 48.0), room(1.0, 48.5), false, false),
+        (team(4.0, 8.0, 0.0, 0.0), room(9.0, 0.0), false, false),
+    ];
+    for (team, used, limit, guarantee) in cases {
+        assert_eq!(within(used, &team), limit, "{used:?} of {team:?}");
+        assert_eq!(guaranteed(used, &team), guarantee, "{used:?} of {team:?}");
+    }
+}
