--- /dev/null
+++ b/src/workers/hearing/tests.rs
@@ -0,0 +1,87 @@
+use super::*;
+
+const LEASE: Millis = Millis(26_000);
+
+#[test]
+fn hearing_is_proved_by_effect_only() {
+    let plain = Said {
+        session: Session(1),
+        unexpected: false,
+        broken: false,
+        obeyed: None,
+    };
+    let unexpected = Said {
+        unexpected: true,
+        ..plain
+    };
+    let obeyed = |yes| Said {
+        obeyed: Some(yes),
+        ..plain
+    };
+    let broken = Said {
+        session: Session(2),
+        broken: true,
+        ..plain
+    };
+    let again = |session| Said {
+        session: Session(session),
+        ..plain
+    };
+    // Seconds at which something is reported, none: it answers what we sent; proved after each.
+    type Step = (u64, Option<Said>, bool);
+    let cases: [(&str, Vec<Step>); 7] = [
+        (
+            "one that is new is asked first",
+            vec![(1, Some(unexpected), false), (1, None, true)],
+        ),
+        (
+            "reports alone prove nothing",
+            vec![
+                (1, Some(unexpected), false),
+                (5, Some(plain), false),
+                (9, Some(plain), false),
+            ],
+        ),
+        (
+            "a session that outlives a lease does",
+            vec![(1, Some(unexpected), false), (28, Some(plain), true)],
+        ),
+        (
+            "one that is over in between does not",
+            vec![
+                (1, Some(unexpected), false),
+                (26, Some(again(2)), false),
+                (29, Some(again(2)), false),
+            ],
+        ),
+        (
+            "a start that is shown does",
+            vec![(1, Some(unexpected), false), (3, Some(obeyed(true)), true)],
+        ),
+        (
+            "one lost answer is no doubt, two in a row are",
+            vec![
+                (1, None, true),
+                (2, Some(obeyed(false)), true),
+                (3, Some(obeyed(true)), true),
+                (4, Some(obeyed(false)), true),
+                (5, Some(obeyed(false)), false),
+            ],
+        ),
+        (
+            "a session that ends though it was answered is",
+            vec![(1, None, true), (20, Some(broken), false), (21, None, true)],
+        ),
+    ];
+    for (name, steps) in cases {
+        let mut hearing = Hearing::default();
+        for (index, (at, said, proved)) in steps.into_iter().enumerate() {
+            let now = Millis(at * 1_000);
+            match said {
+                Some(said) => hearing.reported(said, LEASE, now),
+                None => hearing.prove(),
+            }
+            assert_eq!(hearing.proved(), proved, "{name}, step {index}");
+        }
+    }
+}
--- /dev/null
+++ b/src/workers/reconcile/tests.rs
@@ -0,0 +1,237 @@
+use super::*;
+use crate::jobs::api::{parse, tests::body};
+use crate::jobs::record::{JobRecord, encode_page, job_key, page_key};
+use crate::jobs::{Shape, Spec};
+use crate::types::{Baton, BlockId, Millis, Revision, Session};
+use crate::workers::Seen;
+
+/// A gang placed on one machine with its image and fifteen without: the first waited alone for
+/// 30 s while the others fetched for a minute, its end took theirs with it, and the next attempt
+/// began with nothing. Started once more, it is not proved gone by an answer from before.
+#[test]
+fn a_task_that_waited_alone_waits_again_while_others_fetch() {
+    let (id, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+    (spec.tasks, spec.shape) = (2, Shape::Gang);
+    let placed = |host: &str, part| {
+        Task::Placed(Placement {
+            host: host.into(),
+            block: BlockId::parse(part).unwrap(),
+            session: Session(1),
+            attempt: Attempt(3),
+        })
+    };
+    let record = JobRecord {
+        phase: Phase::Active,
+        home: "n0".into(),
+        tasks: 2,
+        page: 8,
+        spec: Some(spec),
+    };
+    let record = serde_json::to_string(&record).unwrap();
+    let (here, other) = (placed("vm-1", "a.0"), placed("vm-2", "a.1"));
+    let tried = Attempt(3);
+    let task = TaskId {
+        job: id.clone(),
+        index: 0,
+    };
+    let cases = [
+        // cause, the other task, may fetch, an order is on its way, started again, released
+        (Cause::Alone, other.clone(), true, false, true, false),
+        (Cause::Alone, other.clone(), true, true, false, false),
+        (Cause::Alone, other.clone(), false, true, false, false),
+        (Cause::Alone, other.clone(), false, false, false, true),
+        (
+            Cause::Alone,
+            Task::Waiting { tried },
+            true,
+            false,
+            false,
+            true,
+        ),
+        (Cause::PeersGone, other, true, true, false, true),
+    ];
+    for (index, (cause, mate, fetches, rides, again, released)) in cases.into_iter().enumerate() {
+        let mut jobs = Jobs::default();
+        jobs.feed(&job_key(&id), Some(&record), Revision(5), Millis(1));
+        let page = encode_page(&[here.clone(), mate]);
+        jobs.feed(&page_key(&id, 0), Some(&page), Revision(6), Millis(1));
+        let (host, block) = (HostId::from("vm-1"), BlockId::parse("a.0").unwrap());
+        let (rig, zone) = ("g8".into(), "a".into());
+        let mut machine = Machine::new(host, rig, zone, false, block, "n0".into());
+        (machine.session, machine.baton) = (Session(1), Baton::of(Token(4)));
+        let seen = Seen {
+            attempt: tried,
+            stage: TaskStage::Exited,
+            cause: Some(cause),
+        };
+        machine.tasks.insert(task.clone(), seen);
+        if rides {
+            machine.direct.riding.insert((task.clone(), tried));
+        }
+        let outcome = reconcile(&machine, Token(4), &jobs, &Stops::default(), |_| fetches);
+        let attempt = tried;
+        let forget = Order::Forget {
+            task: task.clone(),
+            attempt,
+        };
+        let task = task.clone();
+        let expected = if again {
+            vec![forget, Order::Start { task, attempt }]
+        } else {
+            vec![]
+        };
+        assert_eq!(outcome.orders, expected, "case {index}");
+        assert_eq!(!outcome.changes.is_empty(), released, "case {index}");
+    }
+}
+
+/// The records of a job of one task, which is placed.
+fn one_placed(id: &JobId, spec: Spec, placement: Placement) -> Jobs {
+    let record = JobRecord {
+        phase: Phase::Active,
+        home: "n0".into(),
+        tasks: 1,
+        page: 8,
+        spec: Some(spec),
+    };
+    let mut jobs = Jobs::default();
+    let record = serde_json::to_string(&record).unwrap();
+    jobs.feed(&job_key(id), Some(&record), Revision(5), Millis(1));
+    let page = encode_page(&[Task::Placed(placement)]);
+    jobs.feed(&page_key(id, 0), Some(&page), Revision(6), Millis(1));
+    jobs
+}
+
+/// A machine came back at once with its counters begun anew, and its block changed hands: its new
+/// holder found tasks of a session that the machine had not reached yet, and waited for ever.
+#[test]
+fn tasks_of_another_session_are_gone() {
+    let cases = [
+        // session of the placement, of the machine, it was asked and answered, released
+        (1, 2, false, true),
+        (2, 1, true, true),
+        (2, 1, false, false),
+        (2, 2, true, false),
+    ];
+    for (placed, now, proved, released) in cases {
+        let (id, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+        spec.tasks = 1;
+        let block = BlockId::parse("a.0").unwrap();
+        let placement = Placement {
+            host: "vm-1".into(),
+            block: block.clone(),
+            session: Session(placed),
+            attempt: Attempt(1),
+        };
+        let jobs = one_placed(&id, spec, placement);
+        let (host, rig, zone) = ("vm-1".into(), "g8".into(), "a".into());
+        let mut machine = Machine::new(host, rig, zone, false, block, "n0".into());
+        (machine.session, machine.baton) = (Session(now), Baton::of(Token(4)));
+        if proved {
+            machine.hearing.prove();
+        }
+        let outcome = reconcile(&machine, Token(4), &jobs, &Stops::default(), |_| false);
+        let release =
+            |(_, _, change): &(JobId, u32, Change)| matches!(change, Change::Release { .. });
+        let found = outcome.changes.iter().any(release);
+        assert_eq!(found, released, "placed in {placed}, now {now}, {proved}");
+    }
+}
+
+/// A task was stopped for another just after its start had left with the answer to a report.
+/// An answer to direct orders, written before the start came, did not show it; its room was
+/// given up, it was placed elsewhere and ran twice.
+#[test]
+fn a_start_on_its_way_is_not_proved_absent() {
+    let (id, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+    spec.tasks = 1;
+    let block = BlockId::parse("a.0").unwrap();
+    let placement = Placement {
+        host: "vm-1".into(),
+        block: block.clone(),
+        session: Session(1),
+        attempt: Attempt(1),
+    };
+    let jobs = one_placed(&id, spec, placement);
+    let task = TaskId { job: id, index: 0 };
+    let attempt = Attempt(1);
+    let stops = Stops::from_iter([(
+        task.clone(),
+        Stop {
+            attempt,
+            save: false,
+        },
+    )]);
+    type Way = fn(&mut Machine, (TaskId, Attempt));
+    let cases: [(&str, Way, bool); 4] = [
+        // how its start went, released
+        ("no start was sent", |_, _| {}, true),
+        (
+            "it left with the answer to the last report",
+            |m, start| m.direct.riding.extend([start]),
+            false,
+        ),
+        (
+            "it was sent directly, without an answer",
+            |m, start| m.direct.loose.extend([start]),
+            false,
+        ),
+        (
+            "it was sent in an earlier session",
+            |m, start| {
+                m.direct.riding.extend([start]);
+                m.direct.enter(Token(4), Session(2));
+            },
+            true,
+        ),
+    ];
+    for (name, way, gone) in cases {
+        let host = HostId::from("vm-1");
+        let (rig, zone) = ("g8".into(), "a".into());
+        let mut machine = Machine::new(host, rig, zone, false, block.clone(), "n0".into());
+        (machine.session, machine.baton) = (Session(1), Baton::of(Token(4)));
+        way(&mut machine, (task.clone(), attempt));
+        let outcome = reconcile(&machine, Token(4), &jobs, &stops, |_| false);
+        assert_eq!(!outcome.changes.is_empty(), gone, "{name}");
+        // A gang waited for ever for a task whose start had been sent to a machine that did not
+        // hear: it is made known to the worker, and ended.
+        let loose = machine.direct.is_loose(&task, attempt);
+        let verbs = outcome.orders.iter().map(|order| match order {
+            Order::Start { .. } => "start",
+            Order::Stop { .. } => "stop",
+            Order::Forget { .. } => "forget",
+        });
+        let expected: &[&str] = if loose { &["start", "stop"] } else { &[] };
+        assert_eq!(verbs.collect::<Vec<_>>(), expected, "{name}");
+    }
+}
+
+/// A task was stopped for another and placed again. The stop of its first attempt was held against the
+/// second, which was released before it was started; it was started when the stop was forgotten, the
+/// release was carried out after that, and it ran twice.
+#[test]
+fn a_stop_is_of_one_attempt() {
+    for (stopped, released) in [(1, false), (2, true)] {
+        let (id, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+        spec.tasks = 1;
+        let block = BlockId::parse("a.0").unwrap();
+        let placement = Placement {
+            host: "vm-1".into(),
+            block: block.clone(),
+            session: Session(1),
+            attempt: Attempt(2),
+        };
+        let jobs = one_placed(&id, spec, placement);
+        let (host, rig, zone) = ("vm-1".into(), "g8".into(), "a".into());
+        let mut machine = Machine::new(host, rig, zone, false, block, "n0".into());
+        (machine.session, machine.baton) = (Session(1), Baton::of(Token(4)));
+        let stop = Stop {
+            attempt: Attempt(stopped),
+            save: false,
+        };
+        let stops = Stops::from_iter([(TaskId { job: id, index: 0 }, stop)]);
+        let outcome = reconcile(&machine, Token(4), &jobs, &stops, |_| false);
+        assert_eq!(!outcome.changes.is_empty(), released, "stop of {stopped}");
+        assert_eq!(outcome.orders.is_empty(), released, "stop of {stopped}");
+    }
+}
--- /dev/null
+++ b/src/workers/tests.rs
@@ -0,0 +1,106 @@
+use super::*;
+
+/// A machine was being emptied when its block changed hands: its new holder held it to be so for
+/// ever, and a gang waited beside four idle machines.
+#[test]
+fn what_an_earlier_holder_said_ends_with_its_hold() {
+    let (host, rig, zone) = ("vm-1".into(), "g8".into(), "a".into());
+    let block = BlockId::parse("a.0").unwrap();
+    let mut machine = Machine::new(host, rig, zone, false, block, "n1".into());
+    machine.hearing.told(true, Millis(1));
+    machine.draining = true;
+    let report = r#"{"host":"vm-1","rig":"g8","yard":"a","loaners":false,"shift":1,"tally":8,
+        "baton":41,"picks":[]}"#;
+    let report: Report = serde_json::from_str(report).unwrap();
+    let (now, silence) = (Millis(9_000), Millis(10_000));
+    assert!(!machine.fit(now, silence));
+    machine.take_in(&report, now, &"n0".into());
+    assert!(machine.fit(now, silence));
+}
+
+/// Two jobs with a mistake had any sound machine deleted that they were tried on; and a gang whose
+/// only machines were faulty was held to be the faulty one, and waited for them for ever.
+#[test]
+fn a_machine_is_judged_by_who_failed_and_how_often() {
+    type Failures = &'static [(&'static str, u64)];
+    let cases: [(Failures, &[&str], bool); 8] = [
+        // job and second of each failure, suspect jobs, sick
+        (&[("job-1", 1)], &[], false),
+        (&[("job-1", 1), ("job-2", 2)], &[], true),
+        (&[("job-1", 1), ("job-2", 2)], &["job-1"], false),
+        (
+            &[("job-1", 1), ("job-2", 2), ("job-3", 3)],
+            &["job-1"],
+            true,
+        ),
+        (
+            &[("job-1", 1), ("job-1", 2), ("job-1", 3), ("job-1", 4)],
+            &["job-1"],
+            false,
+        ),
+        (
+            &[("job-1", 1), ("job-1", 9), ("job-1", 20)],
+            &["job-1"],
+            false,
+        ),
+        (
+            &[
+                ("job-1", 1),
+                ("job-1", 5),
+                ("job-1", 9),
+                ("job-1", 13),
+                ("job-1", 17),
+                ("job-1", 21),
+                ("job-1", 25),
+            ],
+            &["job-1"],
+            true,
+        ),
+        (
+            &[("job-1", 1), ("job-1", 9), ("job-1", 20), ("job-1", 40)],
+            &["job-1"],
+            true,
+        ),
+    ];
+    for (failures, suspects, sick) in cases {
+        let (host, rig, zone) = ("vm-1".into(), "g8".into(), "a".into());
+        let block = BlockId::parse("a.0").unwrap();
+        let mut machine = Machine::new(host, rig, zone, false, block, "n0".into());
+        for (job, at) in failures {
+            machine.note_failure(&(*job).into(), Millis(at * 1_000));
+        }
+        machine.judge(|job| suspects.contains(&job.as_str()));
+        assert_eq!(machine.sick, sick, "{failures:?}, suspect: {suspects:?}");
+    }
+}
+
+/// Fetches were taken for over after a minute, when one of 20 GB takes three, and a machine
+/// that fetched two other images looked hardly worse than one that fetched none.
+#[test]
+fn fetches_share_a_rate_and_take_their_time() {
+    let block = BlockId::parse("a.0").unwrap();
+    type Case = (&'static str, &'static [(&'static str, f64)], u64, f64);
+    let cases: [Case; 6] = [
+        // image asked for, of 12 GB at 0.1 GB/s; on their way since second 0; now; seconds
+        ("here", &[], 0, 0.0),
+        ("new", &[], 0, 120.0),
+        ("new", &[("other", 6.0)], 0, 180.0),
+        ("new", &[("other", 6.0)], 30, 150.0),
+        ("coming", &[("coming", 12.0)], 90, 30.0),
+        ("coming", &[("coming", 12.0), ("other", 20.0)], 90, 150.0),
+    ];
+    for (asked, coming, now_s, expected) in cases {
+        let (host, rig, zone) = ("vm-1".into(), "g8".into(), "a".into());
+        let mut machine = Machine::new(host, rig, zone, false, block.clone(), "n0".into());
+        machine.note_image(&"here".into(), 12.0, 80.0, Millis(0));
+        for (image, gb) in coming {
+            machine.expect_image(&(*image).into(), *gb, Millis(0));
+        }
+        let now = Millis(now_s * 1000);
+        machine.forget_fetches(0.1, now);
+        let got = machine.image_s(&asked.into(), 12.0, 0.1, now);
+        assert!((got - expected).abs() < 0.01, "{asked}, {coming:?}: {got}");
+        machine.forget_fetches(0.1, Millis(3_000_000));
+        assert!(machine.coming.is_empty());
+    }
+}
