--- /dev/null
+++ b/src/lease/tests.rs
@@ -0,0 +1,197 @@
+use super::*;
+
+fn nodes(list: &[(&str, &str, bool)]) -> BTreeMap<NodeId, (NodeRecord, Revision)> {
+    list.iter()
+        .map(|(name, zone, hears)| {
+            let record = NodeRecord {
+                permit: Permit(1),
+                zone: (*zone).into(),
+                hears: *hears,
+            };
+            ((*name).into(), (record, Revision(1)))
+        })
+        .collect()
+}
+
+#[test]
+fn blocks_go_to_controllers_of_their_zone_first() {
+    type Case<'a> = (&'a [&'a str], &'a [(&'a str, &'a str, bool)], &'a str);
+    let cases: &[Case] = &[
+        (
+            &["a", "b"],
+            &[("n0", "a", true), ("n1", "b", true), ("n2", "a", true)],
+            "a.0=n0 a.1=n2 b.0=n1 b.1=n1",
+        ),
+        (
+            &["a", "b", "c"],
+            &[("n0", "a", true), ("n1", "b", true)],
+            "a.0=n0 a.1=n0 b.0=n1 b.1=n1 c.0=n0 c.1=n1",
+        ),
+        (
+            &["a", "b"],
+            &[("n0", "a", false), ("n1", "b", true)],
+            "a.0=n1 a.1=n1 b.0=n1 b.1=n1",
+        ),
+        (&["a"], &[("n0", "b", false)], "a.0=n0 a.1=n0"),
+        (&["a"], &[], ""),
+    ];
+    for (zones, list, expected) in cases {
+        let zones: Vec<Zone> = zones.iter().map(|z| (*z).into()).collect();
+        let shown: Vec<String> = rightful(&zones, 2, &nodes(list))
+            .iter()
+            .map(|(block, node)| format!("{block}={node}"))
+            .collect();
+        assert_eq!(shown.join(" "), *expected);
+    }
+}
+
+#[test]
+fn an_older_record_changes_nothing() {
+    let mut leases = Leases::default();
+    let holder = |name: &str| format!("{{\"holder\":\"{name}\",\"permit\":7}}");
+    let block = BlockId::parse("a.0").unwrap();
+    let steps = [
+        (Some(holder("n0")), 5, Some("n0")),
+        (Some(holder("n1")), 4, Some("n0")),
+        (None, 3, Some("n0")),
+        (Some(holder("n1")), 9, Some("n1")),
+        (None, 10, None),
+    ];
+    for (data, version, expected) in steps {
+        leases.feed(
+            &"n9".into(),
+            "jt/block/a.0",
+            data.as_deref(),
+            Revision(version),
+        );
+        let held = leases.blocks.get(&block).map(|(n, _)| n.as_str());
+        assert_eq!(held, expected, "at {version}");
+    }
+}
+
+/// A leader back from a cut took a new lease and, until the watch told it of its successor,
+/// acted as leader again: it deleted twelve machines at work.
+#[test]
+fn the_end_of_our_lease_ends_our_offices_and_nobody_elses() {
+    let mut leases = Leases {
+        own: Own::Held {
+            permit: Permit(7),
+            until: Millis(9),
+        },
+        ..Leases::default()
+    };
+    leases.feed(
+        &"n9".into(),
+        "jt/lead",
+        Some(r#"{"leader":"n0","permit":7}"#),
+        Revision(3),
+    );
+    leases.feed(
+        &"n9".into(),
+        "jt/block/a.0",
+        Some(r#"{"holder":"n0","permit":7}"#),
+        Revision(4),
+    );
+    leases.feed(
+        &"n9".into(),
+        "jt/block/a.1",
+        Some(r#"{"holder":"n1","permit":8}"#),
+        Revision(5),
+    );
+    let (n0, n1) = (NodeId::from("n0"), NodeId::from("n1"));
+    let (a0, a1) = (
+        BlockId::parse("a.0").unwrap(),
+        BlockId::parse("a.1").unwrap(),
+    );
+    leases.lose(&n0);
+    assert_eq!((leases.leads(&n0), leases.holds(&a0, &n0)), (None, None));
+    assert_eq!(leases.holds(&a1, &n1), Some(Token(5)));
+    assert_eq!(leases.own, Own::None);
+    // What others then do is heard as ever.
+    leases.feed(
+        &"n9".into(),
+        "jt/lead",
+        Some(r#"{"leader":"n1","permit":8}"#),
+        Revision(8),
+    );
+    assert_eq!(leases.leads(&n1), Some(Revision(8)));
+    leases.lose(&n0);
+    assert_eq!(leases.leads(&n1), Some(Revision(8)));
+}
+
+#[test]
+fn a_peer_supersedes_us_only_with_a_higher_token() {
+    let block = BlockId::parse("a.0").unwrap();
+    for (token, holder, taken) in [
+        (3, "n1", false),
+        (4, "n1", false),
+        (9, "n1", true),
+        (9, "n0", false),
+    ] {
+        let mut leases = Leases::default();
+        leases.feed(
+            &"n9".into(),
+            "jt/block/a.0",
+            Some(r#"{"holder":"n0","permit":7}"#),
+            Revision(4),
+        );
+        let superseded = leases.supersede(&block, &holder.into(), Token(token));
+        assert_eq!(superseded, taken, "token {token} of {holder}");
+    }
+}
+
+/// A controller that was killed and back at once said `leading` and `holding` with the revisions
+/// of the process before, until its old lease had been ended: it could have rented under names
+/// that were used already, and answered workers under a token it had no right to.
+#[test]
+fn an_office_belongs_to_the_process_that_took_it() {
+    let me = NodeId::from("n0");
+    let block = BlockId::parse("a.0").unwrap();
+    let cases = [
+        // our lease; who held the office by the record, under which lease; ours, anybody's
+        (None, "n0", 7, false, false),
+        (Some(8), "n0", 7, false, false),
+        (Some(8), "n0", 8, true, true),
+        (Some(8), "n1", 7, false, true),
+        (None, "n1", 7, false, true),
+    ];
+    for (own, holder, permit, ours, known) in cases {
+        let mut leases = Leases::default();
+        if let Some(permit) = own {
+            leases.own = Own::Held {
+                permit: Permit(permit),
+                until: Millis(9),
+            };
+        }
+        let lead = format!("{{\"leader\":\"{holder}\",\"permit\":{permit}}}");
+        let held = format!("{{\"holder\":\"{holder}\",\"permit\":{permit}}}");
+        leases.feed(&me, LEADER, Some(&lead), Revision(3));
+        leases.feed(&me, &block_key(&block), Some(&held), Revision(4));
+        let case = format!("{own:?}, {holder} under {permit}");
+        assert_eq!(leases.leads(&me).is_some(), ours, "{case}");
+        assert_eq!(leases.holds(&block, &me).is_some(), ours, "{case}");
+        assert_eq!(leases.leader.is_some(), known, "{case}");
+        assert_eq!(leases.blocks.contains_key(&block), known, "{case}");
+    }
+}
+
+/// What a dead process said may come late, and make machines look alive that nobody hears.
+#[test]
+fn a_process_is_over_once_its_record_has_changed_hands() {
+    let mut leases = Leases::default();
+    let record = |permit| format!("{{\"permit\":{permit},\"zone\":\"a\",\"hears\":true}}");
+    let steps = [
+        // record, its version, leases that are over then
+        (Some(record(3)), 5, vec![]),
+        (Some(record(3)), 6, vec![]),
+        (Some(record(4)), 7, vec![3]),
+        (None, 8, vec![3, 4]),
+        (Some(record(9)), 9, vec![3, 4]),
+    ];
+    for (data, version, over) in steps {
+        let (key, version) = (node_key(&"n1".into()), Revision(version));
+        leases.feed(&"n0".into(), &key, data.as_deref(), version);
+        let found: Vec<u64> = (1..12).filter(|p| leases.is_over(Permit(*p))).collect();
+        assert_eq!(found, over, "at {version:?}");
+    }
+}
--- /dev/null
+++ b/src/peers/link/tests.rs
@@ -0,0 +1,29 @@
+use super::*;
+
+/// After a cut the other end may be gone while frames are still taken: found in a zone cut
+/// during which a controller restarted, after which the leader heard nothing for minutes.
+#[tokio::test(start_paused = true)]
+async fn a_connection_without_acknowledgements_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, messages) = mpsc::channel(BACKLOG);
+    tokio::spawn(speak("n0".into(), address, messages));
+    let (mute, _) = listener.accept().await.unwrap();
+    for job in ["job-1", "job-2"] {
+        let job = job.to_string();
+        sender.send(Message::Unplaced { job }).await.unwrap();
+    }
+    let (inbox, mut heard) = mpsc::channel(BACKLOG);
+    tokio::spawn(async move {
+        // The first connection stays open and mute.
+        let _mute = mute;
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(hear(stream, inbox.clone()));
+        }
+    });
+    let job = "job-3".to_string();
+    while heard.try_recv().is_err() {
+        let _ = sender.try_send(Message::Unplaced { job: job.clone() });
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- /dev/null
+++ b/src/settings/tests.rs
@@ -0,0 +1,120 @@
+use super::*;
+use serde_json::{Value, json};
+
+pub fn settings() -> Value {
+    json!({"label": "n0", "zone": "a", "public_addr": "10.0.0.1:80", "peer_bind": "10.0.0.1:81",
+        "members": [{"label": "n1", "zone": "b", "address": "10.0.0.2:81"}],
+        "outside": {"cloud": "10.2.0.2:1", "state": "10.2.0.1:1"}, "new": "ignored",
+        "deployment": {"count": 2, "zones": ["a"], "teams": [], "objectives": [],
+            "workers": {"report_s": 3.0, "lease_s": 24.0, "gang_wait_s": 35.0,
+                "gang_peer_s": 5.0, "cancel_s": 44.0},
+            "state": {"rps": 150.0, "write_rps": 50.0, "value_kb": 8.0, "txn_ops": 12},
+            "cloud": {"rps": 5.0, "list_lag_s": 10.0},
+            "quota": {"cores": 0.24, "mem_mb": 136.0, "sockets": 1800},
+            "clock_error_ms": 1000.0}})
+}
+
+#[test]
+fn a_wrong_field_is_named() {
+    assert!(Settings::parse("f", &settings().to_string()).is_ok());
+    let cases = [
+        (
+            "/deployment/workers/lease_s",
+            json!(-1.0),
+            "deployment.workers.lease_s",
+        ),
+        (
+            "/deployment/workers/lease_s",
+            json!("x"),
+            "deployment.workers.lease_s",
+        ),
+        ("/deployment/zones", json!([]), "deployment.zones"),
+        (
+            "/deployment/state/txn_ops",
+            json!(1),
+            "deployment.state.txn_ops",
+        ),
+        ("/members/0/address", json!("nowhere"), "members[0].address"),
+        ("/members/0/label", json!("n0"), "members"),
+        ("/public_addr", Value::Null, "public_addr"),
+        (
+            "/deployment/quota",
+            json!({"cores": 1.0, "sockets": 1}),
+            "deployment.quota.mem_mb",
+        ),
+        ("/outside", json!({}), "outside.cloud"),
+    ];
+    for (path, value, field) in cases {
+        let mut changed = settings();
+        *changed.pointer_mut(path).unwrap() = value;
+        let error = Settings::parse("f.json", &changed.to_string())
+            .unwrap_err()
+            .to_string();
+        assert!(error.starts_with(&format!("f.json: {field}: ")), "{error}");
+    }
+}
+
+#[test]
+fn the_operators_file_is_checked() {
+    let shipped = include_str!("../../deploy/jaspertiller.ini");
+    assert_eq!(Operator::parse("f", shipped).unwrap(), Operator::default());
+    let flush = Operator::parse("f", "[queue]\nflush_s = 45\n")
+        .unwrap()
+        .flush;
+    assert_eq!(flush, Millis(45_000));
+    let cases = [
+        ("[quue]\nflush_s = 1\n", "[quue]"),
+        ("[queue]\nflush = 1\n", "[queue] flush"),
+        ("[queue]\nflush_s = soon\n", "[queue] flush_s"),
+        ("[queue]\nflush_s = 0\n", "[queue] flush_s"),
+        ("[queue]\nbackoff_first_s = 20\n", "[queue] backoff_most_s"),
+        ("[lease]\nlease_s = 2\n", "[lease] stop_before_s"),
+        ("flush_s = 1\n", "[] flush_s"),
+        ("[quota]\ntree =\n", "[quota] tree"),
+        ("[quota]\nforest = x\n", "[quota] forest"),
+    ];
+    for (text, field) in cases {
+        let error = Operator::parse("f.ini", text).unwrap_err().to_string();
+        assert!(error.starts_with(&format!("f.ini: {field}: ")), "{error}");
+    }
+}
+
+/// The sample is checked against the teams that it names; a tree that does not fit the platform
+/// is refused, with its file and field.
+#[test]
+fn the_tree_of_quotas_is_checked() {
+    let sample = include_str!("../../deploy/quota-tree.ini");
+    let team = |name: &str, gpus: f64| json!({"name": name, "cpus": 0.0, "cpus_max": 0.0, "gpus": gpus, "gpus_max": 0.0});
+    let names = ["kigali-slotting", "kigali-forecast", "huye-slotting"];
+    let platform = |teams: Vec<Value>, value_kb: f64| {
+        let mut changed = settings();
+        changed["deployment"]["teams"] = json!(teams);
+        changed["deployment"]["state"]["value_kb"] = json!(value_kb);
+        Settings::parse("f", &changed.to_string()).unwrap()
+    };
+    let fits = names.iter().map(|name| team(name, 0.0)).collect();
+    let mut good = platform(fits, 8.0);
+    good.take_tree("tree.ini", sample).unwrap();
+    assert!(good.tree_notes.is_empty(), "{:?}", good.tree_notes);
+    assert!(
+        good.summary()
+            .contains("tree of quotas           revision 1, 6 nodes")
+    );
+    let cases = [
+        (
+            vec![team("huye-slotting", 9.0)],
+            8.0,
+            "[node huye-slotting] gpus",
+        ),
+        (vec![team("#x", 0.0)], 8.0, "team #x"),
+        (vec![], 0.1, "[node ...] gpus_max, cpus_max"),
+    ];
+    for (teams, value_kb, field) in cases {
+        let error = platform(teams, value_kb).take_tree("tree.ini", sample);
+        let error = error.unwrap_err().to_string();
+        assert!(
+            error.starts_with(&format!("tree.ini: {field}: ")),
+            "{error}"
+        );
+    }
+}
--- /dev/null
+++ b/src/sockets/tests.rs
@@ -0,0 +1,78 @@
+use super::*;
+
+fn ledger(most: usize) -> Ledger<u32> {
+    Ledger::new(most, Patience::for_reports_every(Millis(5_000)))
+}
+
+fn open(ledger: &mut Ledger<u32>, keys: std::ops::Range<u32>, class: Class) {
+    for key in keys {
+        assert!(ledger.admits(), "connection {key}");
+        ledger.opened(key, Millis(0));
+        ledger.asked(key, class, Millis(0));
+        ledger.answered(key, Millis(0));
+    }
+}
+
+/// Nothing bounded the sockets: a controller that held all blocks stood at its limit, the
+/// system refused workers, users and the state service alike.
+#[test]
+fn all_parts_together_stay_below_the_platforms_limit() {
+    for (sockets, members) in [(40, 0), (64, 2), (300, 2), (1_800, 2), (3_352, 8)] {
+        let budget = Budget::new(sockets, members);
+        // Each connection out to a peer, and what is under way to state service and cloud.
+        let all = budget.server + budget.direct + budget.peers + members + OWN / 2;
+        assert!(all * 10 <= sockets * 9, "{sockets}: {budget:?}");
+    }
+}
+
+#[test]
+fn users_give_way_to_workers_and_workers_connections_to_room() {
+    let mut ledger = ledger(100);
+    open(&mut ledger, 0..64, Class::Report);
+    assert_eq!(ledger.pressure(), Pressure::default());
+    open(&mut ledger, 100..101, Class::User);
+    let tight = ledger.pressure();
+    assert!(tight.closes(Class::User) && !tight.closes(Class::Report));
+    open(&mut ledger, 64..75, Class::Report);
+    assert!(ledger.pressure().closes(Class::Report));
+    assert!(!ledger.pressure().closes(Class::Probe) && !ledger.pressure().users_full);
+    let mut ledger = super::tests::ledger(100);
+    open(&mut ledger, 0..41, Class::User);
+    assert!(ledger.pressure().users_full);
+    ledger.closed(7);
+    ledger.asked(8, Class::Report, Millis(1));
+    assert!(!ledger.pressure().users_full);
+}
+
+/// Half-open connections, and some that send a byte a second.
+#[test]
+fn connections_that_ask_nothing_take_a_part_only_and_not_for_long() {
+    let mut ledger = ledger(100);
+    for key in 0..30 {
+        assert!(ledger.admits());
+        ledger.opened(key, Millis(0));
+    }
+    assert!(!ledger.admits());
+    ledger.asked(0, Class::Report, Millis(4_000));
+    assert!(ledger.admits());
+    let cases = [(5_000, 0), (5_001, 29), (33_000, 29), (34_001, 30)];
+    for (at, idle) in cases {
+        assert_eq!(ledger.idle(Millis(at)).len(), idle, "at {at}");
+    }
+    ledger.answered(0, Millis(10_000));
+    assert_eq!(ledger.idle(Millis(35_000)).len(), 29);
+    assert_eq!(ledger.idle(Millis(35_001)).len(), 30);
+}
+
+#[test]
+fn when_it_is_full_idle_users_go_first() {
+    let mut ledger = ledger(100);
+    open(&mut ledger, 0..20, Class::User);
+    open(&mut ledger, 20..84, Class::Report);
+    assert!(ledger.idle(Millis(7_000)).is_empty());
+    open(&mut ledger, 84..100, Class::Report);
+    assert!(!ledger.admits());
+    let mut idle = ledger.idle(Millis(7_000));
+    idle.sort();
+    assert_eq!(idle, (0..20).collect::<Vec<_>>());
+}
--- /dev/null
+++ b/src/store/lanes/tests.rs
@@ -0,0 +1,68 @@
+use super::*;
+
+fn lanes() -> Lanes<u32> {
+    let limits = State {
+        rps: 1_000.0,
+        write_rps: 20.0,
+        value_kb: 8.0,
+        txn_ops: 20,
+    };
+    let mut lanes = Lanes::new(&limits, 1, Millis(0));
+    lanes.allow(20.0, Millis(0));
+    lanes
+}
+
+/// Plays some seconds; `asks` pushes what comes in each tenth of one. Returns the calls made.
+fn play(seconds: u64, mut asks: impl FnMut(&mut Lanes<u32>, Millis)) -> Vec<(Class, Millis)> {
+    let mut lanes = lanes();
+    let mut made = Vec::new();
+    for tenth in 0..seconds * 10 {
+        let now = Millis(tenth * 100);
+        asks(&mut lanes, now);
+        loop {
+            match lanes.next(now) {
+                Next::Call(call) => made.push((call.class, Millis(now.0 - call.asked.0))),
+                Next::Refuse(_) => {}
+                Next::Wait(_) | Next::Nothing => break,
+            }
+        }
+    }
+    made
+}
+
+/// With a swarm of submissions nothing was placed: users' calls went before all others. And a
+/// deal of shares, which is several changes at once, waited for a quarter of a minute.
+#[test]
+fn a_swarm_of_one_class_leaves_the_others_their_floor() {
+    let made = play(20, |lanes, now| {
+        for n in 0..10 {
+            lanes.push(Class::Submissions, 1.0, n, now);
+        }
+        lanes.push(Class::Jobs, 1.0, 0, now);
+        if now.0 % 4_000 == 0 {
+            lanes.push(Class::Duties, 6.0, 0, now);
+        }
+    });
+    let count = |class| made.iter().filter(|(c, _)| *c == class).count();
+    assert!(count(Class::Jobs) > 110, "{}", count(Class::Jobs));
+    assert!(count(Class::Submissions) > 100);
+    let duties = made.iter().filter(|(c, _)| *c == Class::Duties);
+    let waited: Vec<Millis> = duties.map(|(_, waited)| *waited).collect();
+    assert!(
+        waited.len() == 5 && waited.iter().all(|w| w.0 < 3_500),
+        "{waited:?}"
+    );
+}
+
+/// A poll's proof stood behind submissions that waited for changes it does not need.
+#[test]
+fn proofs_do_not_wait_for_changes() {
+    let made = play(5, |lanes, now| {
+        for n in 0..20 {
+            lanes.push(Class::Submissions, 1.0, n, now);
+        }
+        lanes.push(Class::Proofs, 0.0, 0, now);
+    });
+    let proofs = made.iter().filter(|(class, _)| *class == Class::Proofs);
+    assert_eq!(proofs.filter(|(_, waited)| waited.0 == 0).count(), 50);
+}
--- /dev/null
+++ b/src/store/wire/tests.rs
@@ -0,0 +1,31 @@
+use super::*;
+
+#[test]
+fn watched_changes_are_read() {
+    let text = r#"{"ledger":433,"news":[{"put":"c/9","data":{"a":[1]},"stamp":433},
+        {"drop":"c/d","stamp":432},{"stamp":1}]}"#;
+    let news: News = serde_json::from_str(text).unwrap();
+    let shown: Vec<String> = news
+        .news
+        .into_iter()
+        .filter_map(NewsItem::update)
+        .map(|update| match update {
+            Update::Put(e) => format!("{}={}@{}", e.key, e.data.get(), e.version.0),
+            Update::Dropped { key, version } => format!("-{key}@{}", version.0),
+        })
+        .collect();
+    assert_eq!(shown, ["c/9={\"a\":[1]}@433", "-c/d@432"]);
+}
+
+#[test]
+fn transactions_are_written_as_the_protocol_has_them() {
+    let mut txn = Txn::default();
+    txn.require("a/b".into(), Revision(0));
+    txn.put_text("a/b".into(), "{\"x\":1}".into(), Some(Permit(7)));
+    txn.drop_key("c/d".into());
+    let text = String::from_utf8(txn_body(&txn).unwrap()).unwrap();
+    assert_eq!(
+        text,
+        r#"{"if":[{"key":"a/b","stamp":0}],"then":[{"put":"a/b","data":{"x":1},"permit":7},{"drop":"c/d"}]}"#
+    );
+}
