Holders hear which machines are being deleted, and place nothing there

A holder went on placing on a machine that the leader had just had deleted until it had been silent for a few reports. The leader's list of machines to be left alone names these too; messages are as before.

--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -1188,7 +1188,12 @@
             .retain(|host, heard| !known.contains_key(host) && now.since(*heard) < HEARD_OF);
         self.told.retain(|host, _| known.contains_key(host));
         let draining = if self.leading().is_some() {
-            self.drains.iter().map(|host| host.to_string()).collect()
+            // What is placed on a machine that is being deleted dies at once: its holder places nothing there
+            // either.
+            let gone = self.fleet.gone.iter();
+            let gone = gone.filter(|host| self.machines.contains_key(*host));
+            let leaving = self.fleet.deleting.union(&self.drains).chain(gone);
+            leaving.map(|host| host.to_string()).collect()
         } else {
             Vec::new()
         };
--- a/src/controller/placing/tests.rs
+++ b/src/controller/placing/tests.rs
@@ -76,3 +76,75 @@
         assert_eq!(taken, newer, "told of {told}, shows {session} {tally}");
     }
 }
+
+/// A holder went on placing on a machine that the leader had just had deleted until it had been silent for a
+/// few reports.
+#[test]
+fn holders_hear_which_machines_are_being_deleted() {
+    type Step = fn(&mut Controller);
+    let cases: [(&str, Step, bool, bool); 5] = [
+        // the machine, whether we lead, whether its holder is told to leave it alone
+        ("nothing", |_| {}, true, false),
+        (
+            "emptied",
+            |c| drop(c.drains.insert("vm-a".into())),
+            true,
+            true,
+        ),
+        (
+            "on its way",
+            |c| drop(c.fleet.deleting.insert("vm-a".into())),
+            true,
+            true,
+        ),
+        (
+            "deleted",
+            |c| drop(c.fleet.gone.insert("vm-a".into())),
+            true,
+            true,
+        ),
+        (
+            "deleted",
+            |c| drop(c.fleet.gone.insert("vm-a".into())),
+            false,
+            false,
+        ),
+    ];
+    for (name, step, leads, told) in cases {
+        let (_, spec) = parse(body().to_string().as_bytes()).unwrap();
+        let (mut leader, _) = controller(spec.clone(), vec![Task::FRESH; 8]);
+        if leads {
+            leader.feed(
+                "jt/lead",
+                Some(r#"{"leader":"n0","permit":1}"#),
+                Revision(8),
+            );
+        }
+        step(&mut leader);
+        leader.effects.clear();
+        leader.now = Millis(5_000);
+        leader.keep_peers();
+        let mut sent = leader.effects.into_iter();
+        let status = sent.find_map(|effect| match effect {
+            Effect::Peer {
+                message: Message::Status(status),
+                ..
+            } => Some(status),
+            _ => None,
+        });
+        let (mut holder, _) = controller(spec, vec![Task::FRESH; 8]);
+        holder.feed(
+            "jt/lead",
+            Some(r#"{"leader":"n1","permit":2}"#),
+            Revision(8),
+        );
+        let mut status = status.expect("a status");
+        status.blocks.clear();
+        holder.on_peer("n1".into(), Message::Status(status));
+        assert_eq!(
+            holder.drains.contains(&HostId::from("vm-a")),
+            told,
+            "{name}, {leads}"
+        );
+    }
+}
