--- a/crates/region/tests/troubles/meetings/holders.rs
+++ b/crates/region/tests/troubles/meetings/holders.rs
@@ -42,7 +42,7 @@
 }
 
 /// Every version that a block's key had meanwhile: each is another hold.
-fn holds(world: &mut World, until: u64) -> u64 {
+pub fn holds(world: &mut World, until: u64) -> u64 {
     let mut seen = HashSet::new();
     while world.now < until {
         world.run_until((world.now + 100).min(until));
--- a/crates/region/tests/troubles/meetings/machines.rs
+++ b/crates/region/tests/troubles/meetings/machines.rs
@@ -6,6 +6,7 @@
 use tiller_region::sim::{JobPlan, World, ZoneCut, job};
 
 use super::super::alone;
+use super::holders::holds;
 use super::{AT, Meeting, at_work, leader, told};
 
 /// Machines that are up now and have tasks.
@@ -136,6 +137,35 @@
             ]
         },
     },
+    Meeting {
+        name: "no machine reaches any controller, shorter than a lease and longer, and jobs are cancelled",
+        controllers: 3,
+        lease_s: None,
+        play: |w| {
+            let (mut began, mut changes) = (HashSet::new(), 0);
+            for (round, span) in [9_000, 22_000].into_iter().enumerate() {
+                w.run_until(AT - 10_000 + 35_000 * round as u64);
+                began.extend(at_work(w));
+                let hosts: Vec<HostId> = w.machines.hosts.keys().cloned().collect();
+                let (from, deleted) = (w.now, w.cloud.deleted_at_work);
+                for index in 0..4 {
+                    w.abort_at(from + 1_500 * index, 2 * index as usize + round);
+                }
+                for host in &hosts {
+                    w.machines.hosts.get_mut(host).unwrap().mute_until = Millis(from + span);
+                }
+                changes += holds(w, from + span) - 1;
+                let deleted = w.cloud.deleted_at_work - deleted;
+                assert_eq!(deleted, 0, "deleted at work in round {round}");
+            }
+            // One controller hears them as well as another.
+            assert!(changes <= 5, "a block changed hands {changes} times");
+            vec![
+                ("cancelled meanwhile", told(w, &began, AT - 10_000, w.now)),
+                ("killed by their lease", w.machines.killed_by_lease),
+            ]
+        },
+    },
     Meeting {
         name: "jobs are cancelled within a fifth of a second and their machines hang, for all spans",
         controllers: 5,
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -387,6 +387,8 @@
     hears: bool,
     last_report: Millis,
     inspected: Millis,
+    /// How often in a row we gave our blocks up since no worker reached us.
+    gave_up_deaf: u32,
     moved_replica: Millis,
     busy_membership: HashSet<&'static str>,
     led_since: Millis,
@@ -493,6 +495,7 @@
             hears: true,
             last_report: Millis(0),
             inspected: Millis(0),
+            gave_up_deaf: 0,
             moved_replica: Millis(0),
             busy_membership: HashSet::default(),
             led_since: Millis(0),
--- a/src/controller/placing/tests.rs
+++ b/src/controller/placing/tests.rs
@@ -87,25 +87,33 @@
         ("nothing", |_| {}, true, false),
         (
             "emptied",
-            |c| drop(c.drains.insert("vm-a".into())),
+            |c| {
+                c.drains.insert("vm-a".into());
+            },
             true,
             true,
         ),
         (
             "on its way",
-            |c| drop(c.fleet.deleting.insert("vm-a".into())),
+            |c| {
+                c.fleet.deleting.insert("vm-a".into());
+            },
             true,
             true,
         ),
         (
             "deleted",
-            |c| drop(c.fleet.gone.insert("vm-a".into())),
+            |c| {
+                c.fleet.gone.insert("vm-a".into());
+            },
             true,
             true,
         ),
         (
             "deleted",
-            |c| drop(c.fleet.gone.insert("vm-a".into())),
+            |c| {
+                c.fleet.gone.insert("vm-a".into());
+            },
             false,
             false,
         ),
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -23,6 +23,18 @@
 const LONG_ENOUGH: Millis = Millis(40_000);
 /// A job that was handed over and stays unknown for this long is forgotten.
 const HANDED_EARLY: Millis = Millis(10_000);
+/// A controller that gave its blocks up, took some since, and heard nobody again waits so much longer before
+/// it tries once more. Workers that reach nobody had blocks change hands every few seconds.
+const DEAF_AGAIN: Millis = Millis(10_000);
+const MOST_DEAF: u32 = 3;
+
+fn pause_of(gave_up: u32) -> Millis {
+    match gave_up {
+        0 => Millis(0),
+        again => Millis(DEAF_AGAIN.0 << (again - 1).min(MOST_DEAF)),
+    }
+}
+
 /// How often a controller that hears nobody asks a worker.
 const INSPECT_EVERY: Millis = Millis(2_000);
 /// What another controller said holds for this long.
@@ -59,6 +71,7 @@
     pub(super) fn on_report(&mut self, reply: ReplyId, report: Report) {
         self.last_report = self.now;
         self.hears = true;
+        self.gave_up_deaf = 0;
         let answer = self.answer_report(report);
         self.effects.push(Effect::Worker { reply, answer });
     }
@@ -95,12 +108,22 @@
                     && self.now.since(m.heard).0 < 4 * deaf.0
             })
             .count();
-        if expected >= 2 && self.now.since(self.last_report) > deaf {
+        if expected >= 2 && self.now.since(self.last_report) > deaf && !self.all_are_deaf() {
             tracing::info!(expected, "no worker reaches us: giving up our blocks");
             self.hears = false;
+            self.inspected = self.now + pause_of(self.gave_up_deaf);
+            self.gave_up_deaf += 1;
         }
     }
 
+    /// Whether no other controller hears workers either: then it is they who can't report, and nobody would
+    /// do better with our blocks.
+    fn all_are_deaf(&self) -> bool {
+        let members = &self.settings.members;
+        let deaf = |label| self.word_of(label).is_some_and(|peer| !peer.hears);
+        !members.is_empty() && members.iter().all(|member| deaf(&member.label))
+    }
+
     pub(super) fn on_inspected(&mut self, answered: bool) {
         if answered && !self.hears {
             tracing::info!("workers can be reached again");
--- a/src/controller/reports/tests.rs
+++ b/src/controller/reports/tests.rs
@@ -4,7 +4,7 @@
 use crate::controller::committing::tests::controller;
 use crate::jobs::api::{parse, tests::body};
 use crate::jobs::{Placement, Task};
-use crate::types::{Baton, Session};
+use crate::types::{Baton, Revision, Session};
 
 /// A machine came back at once and said so in its answer to direct orders. Its last answered
 /// report was of the session before, so its lease was taken for over while its tasks ran, and
@@ -129,3 +129,57 @@
     controller.on_direct(&host, Some(DirectAnswer { report: answer }));
     assert!(fit(&controller), "it answered");
 }
+
+/// No worker reached any controller for a while: each gave its blocks up to the others, took some, heard nobody
+/// and gave them up again, every few seconds.
+#[test]
+fn blocks_are_not_passed_round_while_nobody_hears_workers() {
+    let cases = [
+        // a peer's word: none, it hears nobody, it hears workers; give-ups before; given up, then asks after ms
+        (None, 0, Some(2_000)),
+        (Some(false), 0, None),
+        (Some(true), 0, Some(2_000)),
+        (Some(true), 1, Some(12_000)),
+        (Some(true), 2, Some(22_000)),
+        (Some(true), 9, Some(82_000)),
+    ];
+    for (peer_hears, before, expected) in cases {
+        let (_, spec) = parse(body().to_string().as_bytes()).unwrap();
+        let (mut controller, _) = controller(spec, vec![Task::FRESH]);
+        controller.now = Millis(100_000);
+        (controller.hears, controller.gave_up_deaf) = (true, before);
+        controller.last_report = controller.now - Millis(controller.silence().0 + 2_001);
+        for machine in controller.machines.values_mut() {
+            machine.answered = Some((Token(5), Millis(1)));
+            (machine.heard, machine.address) = (controller.last_report, "10.0.0.9:1".parse().ok());
+        }
+        controller.moved.clear();
+        for member in controller.settings.members.clone() {
+            let said = peer_hears.map(|hears| PeerState {
+                heard: controller.now,
+                revision: Revision(1),
+                without_store: Millis(0),
+                hears,
+            });
+            controller
+                .peers
+                .extend(said.map(|said| (member.label, said)));
+        }
+        controller.keep_hearing();
+        let case = format!("{peer_hears:?}, {before}");
+        assert_eq!(controller.hears, expected.is_none(), "{case}");
+        let Some(expected) = expected else { continue };
+        let from = controller.now;
+        for (after, asks) in [(expected - 1, false), (expected, true)] {
+            controller.effects.clear();
+            controller.now = from + Millis(after);
+            controller.keep_hearing();
+            let asked = |effect: &Effect| matches!(effect, Effect::Inspect { .. });
+            assert_eq!(
+                controller.effects.iter().any(asked),
+                asks,
+                "{case}, {after}"
+            );
+        }
+    }
+}
