--- a/src/controller/contact/mod.rs
+++ b/src/controller/contact/mod.rs
@@ -12,15 +12,39 @@
 const ASK_EVERY: Millis = Millis(2_500);
 /// And only so many that fell silent in a second: most are dead, and hold a socket until that shows.
 const MOST_ASKED: usize = 32;
+/// A machine is quiet once so many of its reports are missing.
+const QUIET: f64 = 1.6;
+/// Fewer quiet machines than these are none too many.
+const FEW: usize = 3;
 /// A new holder's machines have found it after so long.
 const FOUND: Millis = Millis(10_000);
 /// What a stop needs to reach a machine and its answer us, beyond the saving itself.
 const TO_STOP: Millis = Millis(7_000);
 
 impl Controller {
+    /// Whether most of our machines have not reported for a while. Then there is nowhere better to go, and most
+    /// spells are over before a lease is, or before one that begins meanwhile: what answers directly is used
+    /// as if it reported. Left as single mute ones are, nearly all work was stopped for nothing.
+    pub(super) fn note_quiet(&mut self) {
+        let often = Millis::from_secs(self.settings.deployment.workers.report_s * QUIET);
+        let (mut all, mut quiet) = (0, 0);
+        for machine in self.machines.values() {
+            let since = self.now.since(machine.reported);
+            let counts = machine.reported > Millis(0) && since < super::reports::FORGET;
+            if counts && self.token_for(&machine.block).is_some() {
+                all += 1;
+                quiet += usize::from(since > often);
+            }
+        }
+        self.most_are_quiet = quiet >= FEW && quiet * 2 >= all;
+    }
+
     /// Whether a machine of ours has not reported for so long that its worker must be unable to. What it
     /// says to direct commands renews no lease.
     pub(super) fn is_mute(&self, host: &HostId) -> bool {
+        if self.most_are_quiet {
+            return false;
+        }
         self.machines.get(host).is_some_and(|machine| {
             let took = self.moved.get(&machine.block).copied().unwrap_or_default();
             let silent = self.now.since(machine.reported) > self.silence();
--- a/src/controller/contact/tests.rs
+++ b/src/controller/contact/tests.rs
@@ -155,3 +155,34 @@
         assert_eq!(sent.filter(asks).count(), usize::from(asked), "{after}");
     }
 }
+
+/// Where most machines could not report, each was left as if it were the only one, and nearly all work was
+/// stopped, though the spell was over before their leases were.
+#[test]
+fn where_most_are_quiet_what_answers_is_used() {
+    let (report_s, silence) = {
+        let settings = reported().0;
+        let report_s = settings.settings.deployment.workers.report_s;
+        (report_s, settings.silence().0)
+    };
+    let quiet = (report_s * 1_600.0) as u64;
+    for (machines, quiet_ones, used) in [(1, 1, false), (3, 3, true), (9, 4, false), (9, 5, true)] {
+        let (mut controller, id) = reported();
+        controller.moved.clear();
+        controller.machines.retain(|host, _| host.as_str() == HOST);
+        let at = REPORTED + silence + 1;
+        let one = controller.machines[&HostId::from(HOST)].clone();
+        for index in 1..machines {
+            let mut other = one.clone();
+            other.host = HostId::from(format!("vm-{}", 100 + index));
+            let since = if index < quiet_ones { quiet + 1 } else { quiet };
+            other.reported = Millis(at - since);
+            controller.machines.insert(other.host.clone(), other);
+        }
+        controller.now = Millis(at);
+        controller.note_quiet();
+        answers(&mut controller, report(&id, 2, &["running"]), at);
+        let fit = controller.ours(&controller.machines[&HostId::from(HOST)]);
+        assert_eq!(fit, used, "{quiet_ones} of {machines}");
+    }
+}
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -389,6 +389,8 @@
     inspected: Millis,
     /// How often in a row we gave our blocks up since no worker reached us.
     gave_up_deaf: u32,
+    /// Most of our machines have not reported for a while.
+    most_are_quiet: bool,
     moved_replica: Millis,
     busy_membership: HashSet<&'static str>,
     led_since: Millis,
@@ -496,6 +498,7 @@
             last_report: Millis(0),
             inspected: Millis(0),
             gave_up_deaf: 0,
+            most_are_quiet: false,
             moved_replica: Millis(0),
             busy_membership: HashSet::default(),
             led_since: Millis(0),
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -530,6 +530,7 @@
             return;
         }
         self.swept = self.now;
+        self.note_quiet();
         self.fence();
         self.ask_silent();
         // The worker's clock may be slower than ours, and its timers late.
