--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -423,7 +423,6 @@
                 }
             }
         }
-        let team = self.jobs.get(&id).map(|job| job.spec.team.clone());
         let unwanted: BTreeSet<HostId> = self
             .jobs
             .get(&id)
@@ -445,7 +444,7 @@
         }
         if !touched.freed.is_empty() {
             self.wake(queue::Event::TaskLeft(id));
-            if let Some(team) = team {
+            if let Some(team) = touched.team {
                 self.wake(queue::Event::TeamFreed(team));
             }
         }
--- a/src/controller/membership/tests.rs
+++ b/src/controller/membership/tests.rs
@@ -44,3 +44,51 @@
         );
     }
 }
+
+/// A job's last tasks and its end are written in one transaction. With the job its team was forgotten, so
+/// nobody who waited for the team's limit heard of it: tasks waited for half a minute beside free machines.
+#[test]
+fn the_end_of_a_job_wakes_who_waits_for_its_team_and_its_room() {
+    use crate::jobs::record::{JobRecord, job_key};
+    use crate::jobs::{Phase, Placement, Shape};
+    use crate::queue::Check;
+    use crate::types::{Attempt, BlockId, JobId, Session};
+    for (check, phase) in [
+        (Check::Team, Phase::Done),
+        (Check::Team, Phase::Aborted),
+        (Check::Room, Phase::Done),
+    ] {
+        let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+        (spec.shape, spec.tasks) = (Shape::Array, 1);
+        let here = Task::Placed(Placement {
+            host: "vm-a".into(),
+            block: BlockId::parse("a.0").unwrap(),
+            session: Session(1),
+            attempt: Attempt(1),
+        });
+        let (mut controller, first) = controller(spec, vec![here]);
+        let record = controller.jobs.get(&first).unwrap().record.clone();
+        let second = JobId::from("job-2");
+        let text = serde_json::to_string(&record).unwrap();
+        controller.feed(&job_key(&second), Some(&text), Revision(20));
+        let order = controller.order(controller.jobs.get(&second).unwrap());
+        controller.queue.remove(&second);
+        let (checks, now) = ([check].into(), controller.now);
+        controller
+            .queue
+            .fail(&second, 1, checks, order, now, &mut controller.rng);
+        let rejected = |c: &Controller| {
+            let cause = c.queue.waits_for(&second);
+            matches!(cause, Some(crate::queue::Cause::Rejected { .. }))
+        };
+        assert!(rejected(&controller), "{check:?}");
+        let over = JobRecord {
+            phase,
+            spec: None,
+            ..record
+        };
+        let text = serde_json::to_string(&over).unwrap();
+        controller.feed(&job_key(&first), Some(&text), Revision(30));
+        assert!(!rejected(&controller), "{check:?}, {phase:?}");
+    }
+}
--- a/src/jobs/cache.rs
+++ b/src/jobs/cache.rs
@@ -243,8 +243,9 @@
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Touched {
     pub job: Option<JobId>,
-    /// Hosts that lost a task.
+    /// Hosts that lost a task, and the team that uses less for it.
     pub freed: Vec<HostId>,
+    pub team: Option<Team>,
     /// Hosts that gained one.
     pub taken: Vec<HostId>,
 }
@@ -533,7 +534,7 @@
             return Touched::default();
         }
         let Some(spec) = record.spec.clone() else {
-            self.forget(id);
+            let touched = self.forget(id);
             let (phase, tasks) = (record.phase, record.tasks);
             let over = Over {
                 phase,
@@ -541,7 +542,7 @@
                 version,
             };
             self.over.insert(id.clone(), over);
-            return Touched::default();
+            return touched;
         };
         match self.jobs.get_mut(id) {
             Some(job) => {
@@ -575,18 +576,26 @@
         }
     }
 
-    fn forget(&mut self, id: &JobId) {
+    /// Drops all that is kept of a job that is over. What it still held comes free with that.
+    fn forget(&mut self, id: &JobId) -> Touched {
+        let mut touched = Touched {
+            job: Some(id.clone()),
+            ..Touched::default()
+        };
         let pages: Vec<u32> = self
             .get(id)
             .map(|j| j.page_keys().collect())
             .unwrap_or_default();
         for page in pages {
-            self.set_page(id, page, None);
+            let left = self.set_page(id, page, None);
+            touched.freed.extend(left.freed);
+            touched.team = touched.team.or(left.team);
             self.leftovers.insert((id.clone(), page));
         }
         self.discard_changes(id);
         self.jobs.remove(id);
         self.early.remove(id);
+        touched
     }
 
     pub fn feed_page(&mut self, id: &JobId, page: u32, text: &str, version: Revision) -> Touched {
@@ -667,6 +676,7 @@
                         }
                     }
                     touched.freed.push(p.host.clone());
+                    touched.team.get_or_insert_with(|| job.spec.team.clone());
                 }
                 Task::Done => job.done -= 1,
                 Task::Waiting { .. } => {}
