--- a/crates/region/src/sim.rs
+++ b/crates/region/src/sim.rs
@@ -346,14 +346,6 @@
         }
     }
 
-    /// A machine reaches no controller for a while, though direct commands reach it.
-    pub fn mute_worker(&mut self, index: usize, until: u64) {
-        let host = self.alive(index);
-        if let Some(machine) = host.and_then(|host| self.machines.hosts.get_mut(&host)) {
-            machine.mute_until = Millis(until);
-        }
-    }
-
     /// Reports that were held back arrive at a controller, whatever has become of their machines. Nobody
     /// waits for the answers.
     pub fn let_reports_through(&mut self, to: usize) {
--- a/crates/region/src/waits.rs
+++ b/crates/region/src/waits.rs
@@ -38,9 +38,8 @@
             job: (*id).clone(),
             index,
         };
-        let mut waiting = (0..job.spec.tasks).map(task);
         let waits = |task: &TaskId| !machines.completed.contains(task) && !on.contains(task);
-        let waiting = waiting.by_ref().filter(waits).count() as u32;
+        let waiting = (0..job.spec.tasks).map(task).filter(waits).count() as u32;
         let together = if job.spec.shape == Shape::Gang {
             waiting
         } else {
