--- a/crates/region/src/live/mod.rs
+++ b/crates/region/src/live/mod.rs
@@ -6,7 +6,7 @@
 mod http;
 mod services;
 pub mod users;
-mod workers;
+pub mod workers;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/region/src/live/workers.rs
+++ b/crates/region/src/live/workers.rs
@@ -51,7 +51,8 @@
     }
 }
 
-fn body(report: &Report) -> Value {
+/// A report as the protocol writes it.
+pub fn report_body(report: &Report) -> Value {
     let picks = report.picks.iter().map(|pick| {
         json!({"pick": pick.pick, "try": pick.attempt, "stage": stage(pick.stage),
             "cause": pick.cause.map(cause), "kept": pick.kept})
@@ -78,7 +79,7 @@
         }
         region.controllers[out.node]
     };
-    let bytes = body(&out.report).to_string().into_bytes();
+    let bytes = report_body(&out.report).to_string().into_bytes();
     let client = client.at(address);
     let call = client.call(Method::POST, "/v1/report", bytes, ANSWER);
     let answer = match call.await {
@@ -158,5 +159,5 @@
         _ => return (404, None),
     }
     let report = region.machines.report(&host);
-    (status, report.as_ref().map(body))
+    (status, report.as_ref().map(report_body))
 }
--- a/crates/region/src/main.rs
+++ b/crates/region/src/main.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod report;
 mod serve;
+mod slope_report;
 
 use std::ffi::OsString;
 use std::net::SocketAddr;
@@ -12,6 +13,7 @@
 
 use clap::{Parser, Subcommand};
 use tiller_region::live::faults::Kind;
+use tiller_region::slopes::Size;
 
 /// A region of stand-ins on loopback, round real controllers.
 #[derive(Parser)]
@@ -75,6 +77,27 @@
         #[arg(long, value_name = "FILE")]
         report: Option<PathBuf>,
     },
+    /// Play one load at several sizes in virtual time: what controllers send, receive and spend
+    Slopes {
+        /// Machines of each size
+        #[arg(long, value_delimiter = ',', default_value = "250,500,1000,2000",
+            value_parser = clap::value_parser!(u32).range(10..=20_000))]
+        machines: Vec<u32>,
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=13))]
+        controllers: u64,
+        #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..=64))]
+        zones: u64,
+        #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..=1_000))]
+        teams: u64,
+        /// Virtual seconds, from an empty fleet on
+        #[arg(long, default_value_t = 120, value_parser = clap::value_parser!(u64).range(20..=600))]
+        seconds: u64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Writes every figure as CSV
+        #[arg(long, value_name = "FILE")]
+        csv: Option<PathBuf>,
+    },
     /// Run the daemon's own command line: what the region starts its controllers with
     #[command(disable_help_flag = true)]
     Controller {
@@ -124,6 +147,24 @@
             } => serve::ask(region, kind, target, for_s).await,
             Command::Contention { seeds, report } => report::run(seeds, report.as_deref()),
             Command::Cuts { report } => cut_report::run(report.as_deref()),
+            Command::Slopes {
+                machines,
+                controllers,
+                zones,
+                teams,
+                seconds,
+                seed,
+                csv,
+            } => {
+                let sizes = machines.into_iter().map(|machines| Size {
+                    machines,
+                    controllers: controllers as usize,
+                    zones: zones as usize,
+                    teams: teams as usize,
+                    seconds,
+                });
+                slope_report::run(sizes, seed, csv.as_deref())
+            }
             Command::Controller { .. } => Ok(ExitCode::SUCCESS),
         }
     });
--- /dev/null
+++ b/crates/region/src/sim/metering.rs
@@ -0,0 +1,143 @@
+//! What the meter notes of each event and effect. Sizes are those of bodies, without HTTP's headers.
+
+use jaspertiller::controller::{Effect, Event};
+use jaspertiller::fleet::CloudCall;
+use jaspertiller::peers::Message;
+use jaspertiller::store::{Answer, Call, Change, Txn, Update};
+use jaspertiller::workers::wire::{Order, Report, ReportAnswer};
+
+use crate::live::workers::report_body;
+use crate::meter::{Direction, NodeMeter};
+
+/// JSON around each order, change or condition, about.
+const ENTRY_OVERHEAD: usize = 24;
+/// JSON around an answer that has nothing in it, about.
+const EMPTY_ANSWER: usize = 28;
+
+/// The kind of an event, and the size of the message that brought it.
+pub fn received(event: &Event) -> (&'static str, usize) {
+    match event {
+        Event::Tick => ("tick", 0),
+        Event::Store { answer, .. } => (answer_kind(answer), answer_bytes(answer)),
+        Event::Cloud { .. } => ("cloud answer", 0),
+        Event::Peer { message, .. } => (peer_kind(message), bitcode::encode(message).len()),
+        Event::Report { report, .. } => ("report", report_bytes(report)),
+        Event::Submit { .. } => ("submission", 0),
+        Event::Poll { .. } => ("poll", 0),
+        Event::Abort { .. } => ("cancellation", 0),
+        Event::Ready { .. } => ("probe", 0),
+        Event::Inspected { .. } => ("inspection", 0),
+        Event::Direct { answer, .. } => {
+            let report = answer.as_ref().and_then(|answer| answer.report.as_ref());
+            ("direct answer", report.map_or(0, report_bytes))
+        }
+    }
+}
+
+/// Notes a message that a controller sends.
+pub fn sent(meter: &mut NodeMeter, effect: &Effect) {
+    let (kind, bytes) = match effect {
+        Effect::Store { call, .. } => (call_kind(call), call_bytes(call)),
+        Effect::Cloud { call, .. } => (cloud_kind(call), 0),
+        Effect::Peer { message, .. } => (peer_kind(message), bitcode::encode(message).len()),
+        Effect::Direct { orders, .. } => ("direct orders", orders_bytes(orders)),
+        Effect::Worker { answer, .. } => match answer {
+            ReportAnswer::Orders { orders, .. } => ("report answer", orders_bytes(orders)),
+            _ => ("report sent on", EMPTY_ANSWER),
+        },
+        Effect::User { .. } => ("user answer", 0),
+        Effect::Inspect { .. } | Effect::Allow { .. } | Effect::Ready { .. } => return,
+    };
+    meter.message(Direction::Sent, kind, bytes);
+    if let Effect::Store {
+        call: Call::Txn(txn),
+        ..
+    } = effect
+    {
+        let changes = txn.changes.len();
+        for _ in 0..changes {
+            meter.message(Direction::Sent, "change", 0);
+        }
+    }
+}
+
+fn report_bytes(report: &Report) -> usize {
+    report_body(report).to_string().len()
+}
+
+fn orders_bytes(orders: &[Order]) -> usize {
+    EMPTY_ANSWER + serde_json::to_string(orders).map_or(0, |text| text.len())
+}
+
+fn answer_kind(answer: &Answer) -> &'static str {
+    match answer {
+        Answer::Updates { .. } => "watch answer",
+        Answer::Page { .. } => "list page",
+        _ => "state answer",
+    }
+}
+
+fn answer_bytes(answer: &Answer) -> usize {
+    match answer {
+        Answer::Updates { updates, .. } => updates
+            .iter()
+            .map(|update| match update {
+                Update::Put(entry) => entry.key.len() + entry.data.get().len() + ENTRY_OVERHEAD,
+                Update::Dropped { key, .. } => key.len() + ENTRY_OVERHEAD,
+            })
+            .sum(),
+        Answer::Page { entries, .. } => entries
+            .iter()
+            .map(|entry| entry.key.len() + entry.data.get().len() + ENTRY_OVERHEAD)
+            .sum(),
+        _ => EMPTY_ANSWER,
+    }
+}
+
+fn call_kind(call: &Call) -> &'static str {
+    match call {
+        Call::Txn(_) => "transaction",
+        Call::Follow { .. } => "watch",
+        Call::List { .. } => "list",
+        Call::ReadRevision => "revision read",
+        Call::Grant { .. } | Call::Renew(_) | Call::End(_) => "lease call",
+    }
+}
+
+fn call_bytes(call: &Call) -> usize {
+    match call {
+        Call::Txn(txn) => transaction_bytes(txn),
+        _ => 0,
+    }
+}
+
+fn transaction_bytes(txn: &Txn) -> usize {
+    let conditions = txn.conditions.iter();
+    let conditions: usize = conditions.map(|(key, _)| key.len() + ENTRY_OVERHEAD).sum();
+    let changes = txn.changes.iter().map(|change| match change {
+        Change::Put { key, data, .. } => key.len() + data.len() + ENTRY_OVERHEAD,
+        Change::Drop { key } => key.len() + ENTRY_OVERHEAD,
+    });
+    conditions + changes.sum::<usize>()
+}
+
+fn cloud_kind(call: &CloudCall) -> &'static str {
+    match call {
+        CloudCall::Flavors => "cloud types",
+        CloudCall::List { .. } => "cloud list",
+        CloudCall::Rent { .. } => "cloud rental",
+        CloudCall::Delete(_) => "cloud deletion",
+    }
+}
+
+fn peer_kind(message: &Message) -> &'static str {
+    match message {
+        Message::Hello { .. } => "peer hello",
+        Message::Status(_) => "peer status",
+        Message::Left(_) => "peer left",
+        Message::Failed { .. } => "peer failed",
+        Message::Unplaced { .. } => "peer unplaced",
+        Message::Place { .. } => "peer place",
+        Message::MakeRoom { .. } => "peer make room",
+    }
+}
--- a/crates/region/src/sim.rs
+++ b/crates/region/src/sim/mod.rs
@@ -1,9 +1,12 @@
 //! Whole controllers in a simulated region: virtual time, seeded luck, crashes, cuts and outages.
 
+mod metering;
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 use jaspertiller::controller::{Controller, DirectAnswer, Effect, Event};
 use jaspertiller::fleet::CloudAnswer;
@@ -24,6 +27,7 @@
 use crate::cloud::Cloud;
 use crate::config::Config;
 use crate::machines::{Description, Machines, Outgoing};
+use crate::meter::{Direction, Meter};
 use crate::rules::{Rules, Told};
 use crate::state::StateService;
 use crate::waits;
@@ -201,6 +205,8 @@
     pub cloud_down: Vec<(u64, u64)>,
     pub jobs: Vec<JobPlan>,
     pub rules: Rules,
+    /// Counts what controllers exchange and do, if asked for.
+    pub meter: Option<Meter>,
 }
 
 impl World {
@@ -254,6 +260,7 @@
             cloud_down: Vec::new(),
             jobs: Vec::new(),
             rules: Rules::new(&config),
+            meter: None,
             config,
         };
         world.post(1, Msg::Step);
@@ -584,7 +591,20 @@
             return;
         };
         let _span = tracing::info_span!("at", now = now.0, node).entered();
-        for effect in controller.handle(event, now) {
+        let kind = self.meter.as_mut().map(|meter| {
+            let (kind, bytes) = metering::received(&event);
+            meter.nodes[node].message(Direction::Received, kind, bytes);
+            kind
+        });
+        let began = Instant::now();
+        let effects = controller.handle(event, now);
+        if let (Some(kind), Some(meter)) = (kind, &mut self.meter) {
+            meter.nodes[node].handled(kind, began.elapsed());
+            for effect in &effects {
+                metering::sent(&mut meter.nodes[node], effect);
+            }
+        }
+        for effect in effects {
             self.carry_out(node, effect);
         }
     }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -685,6 +685,17 @@
         self.leases.leads(&self.me)
     }
 
+    /// Whether this controller leads, as far as it knows.
+    pub fn is_leading(&self) -> bool {
+        self.leading().is_some()
+    }
+
+    /// How many machines of its own blocks this controller knows.
+    pub fn machines_held(&self) -> usize {
+        let held = |machine: &&Machine| self.token_for(&machine.block).is_some();
+        self.machines.values().filter(held).count()
+    }
+
     fn leader(&self) -> Option<&NodeId> {
         self.leases.leader.as_ref().map(|(leader, _)| leader)
     }
