--- /dev/null
+++ b/src/controller/peering.rs
@@ -0,0 +1,264 @@
+//! What controllers tell each other: statuses once a second, jobs that are handed over, room to be made.
+
+use std::hash::BuildHasher;
+
+use rustc_hash::FxBuildHasher;
+
+use super::preempting::Where;
+use super::{Controller, Effect};
+use crate::admission::shared::Said;
+use crate::peers::{MachineView, Message, Pulse, Status};
+use crate::queue::Event;
+use crate::types::{
+    BlockId, HostId, JobId, Millis, NodeId, Permit, Revision, Session, Token, Zone,
+};
+use crate::workers::{Cached, Machine, block_of};
+use tiller_admission::plan::Demand;
+
+const STATUS_EVERY: Millis = Millis(1_000);
+/// What others said of a machine that nobody described is of no use after this long.
+const HEARD_OF: Millis = Millis(120_000);
+/// Each machine is described again once in this many statuses, whether it changed or not.
+const TOLD_AGAIN: u64 = 8;
+/// What the leader wants emptied is kept so for this long after it was last heard.
+const DRAIN_HOLDS: Millis = Millis(15_000);
+
+impl Controller {
+    pub(super) fn on_peer(&mut self, from: NodeId, message: Message) {
+        match message {
+            Message::Hello { .. } => {}
+            Message::Unplaced { job } => {
+                // One that is queued here already keeps its place: it must not come round faster
+                // than its back-off lets it.
+                let job = JobId::from(job);
+                if self.leading().is_some() && !self.queue.contains(&job) {
+                    self.take_over(&job);
+                }
+            }
+            Message::Place { job, preempt } => {
+                let job = JobId::from(job);
+                if let Some(host) = preempt {
+                    self.to_preempt.insert(job.clone(), host.into());
+                }
+                self.take_over(&job);
+            }
+            Message::MakeRoom { job, host } => {
+                let job = JobId::from(job);
+                if self.preempt(&job, Where::On(host.into())) {
+                    self.expect_task(&job);
+                }
+            }
+            Message::Left(left) => self.on_left(left),
+            Message::Failed { job, host } => self.note_failed(&job.into(), &host.into()),
+            Message::Status(status) => self.on_status(from, status),
+        }
+    }
+
+    /// Takes a job over that was handed to us; as soon as it is known, if a message was faster
+    /// than the watch.
+    pub(super) fn take_over(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else {
+            self.handed_early.insert(id.clone(), self.now);
+            return;
+        };
+        if job.active() && job.waiting() > 0 {
+            let order = self.order(job);
+            self.handed.insert(id.clone());
+            self.queue.activate(id, order);
+        }
+    }
+
+    pub(super) fn on_status(&mut self, from: NodeId, status: Status) {
+        // One that lost the state service has lost its lease too, and goes on; one that did not is
+        // no more, and says so late.
+        let over = |permit| self.leases.is_over(Permit(permit));
+        let went_on = Millis(status.without_store_ms) > self.settings.operator.lease;
+        if status.permit.is_some_and(over) && !went_on {
+            tracing::debug!(%from, "a message of a process that is no more");
+            return;
+        }
+        let (now, parts) = (self.now, self.settings.operator.blocks_per_zone);
+        let state = super::PeerState {
+            heard: now,
+            revision: Revision(status.revision),
+            without_store: Millis(status.without_store_ms),
+            hears: status.hears,
+        };
+        self.peers.insert(from.clone(), state);
+        let demand = Demand {
+            used: status.used_milli as f64 / 1e3,
+            waiting: status.waiting as f64,
+        };
+        let obeys = Revision(status.plan);
+        self.shared
+            .said
+            .insert(from.clone(), Said { obeys, demand });
+        for (block, token) in status.blocks {
+            let Some(block) = BlockId::parse(&block) else {
+                continue;
+            };
+            let token = Token(token);
+            if self.leases.supersede(&block, &from, token) {
+                tracing::info!(%block, holder = %from, token = token.0, "superseded");
+                self.moved.insert(block, now);
+            }
+        }
+        let silence = self.silence();
+        let mut fit = Vec::new();
+        for view in status.views {
+            let host = HostId::from(view.host);
+            let machine = match self.machines.get_mut(&host) {
+                Some(machine) => machine,
+                None => {
+                    let zone = Zone::from(view.zone);
+                    let block = block_of(&host, &zone, parts);
+                    let (rig, by) = (view.rig.into(), from.clone());
+                    let new = Machine::new(host.clone(), rig, zone, view.spot, block, by);
+                    self.machines.entry(host).or_insert(new)
+                }
+            };
+            if self.leases.holds(&machine.block, &self.me).is_some() {
+                continue;
+            }
+            machine.address = view.address.parse().ok().or(machine.address);
+            let cached = |(image, mb): (String, u64)| {
+                let gb = mb as f64 / 1e3;
+                (image.into(), Cached { used: now, gb })
+            };
+            machine.images = view.images.into_iter().map(cached).collect();
+        }
+        for pulse in status.machines {
+            let host = HostId::from(pulse.host);
+            // One that we know nothing of yet is described soon. Until then it must not be taken
+            // for one that its holder never heard.
+            let Some(machine) = self.machines.get_mut(&host) else {
+                self.heard_of.insert(host, now - Millis(pulse.silent_ms));
+                continue;
+            };
+            if self.leases.holds(&machine.block, &self.me).is_some() {
+                continue;
+            }
+            let was_fit = machine.fit(now, silence);
+            machine.heard = machine.heard.max(now - Millis(pulse.silent_ms));
+            machine.heard_by = from.clone();
+            let session = Session(pulse.session);
+            if session != machine.session {
+                // What we know of its counter is of another session.
+                (machine.session, machine.tally) = (session, 0);
+            }
+            machine.hearing.told(!pulse.doubtful, now);
+            machine.warned = pulse.warned;
+            if machine.sick && !pulse.sick {
+                // It was the jobs, not the machine.
+                self.drains.remove(&machine.host);
+            }
+            if pulse.sick && !machine.sick {
+                self.trials.sick(&machine.host, now);
+            }
+            machine.sick = pulse.sick;
+            machine.draining = pulse.draining;
+            if !was_fit && machine.fit(now, silence) {
+                fit.push(machine.host.clone());
+            }
+        }
+        if self.leader() == Some(&from) {
+            self.drains = status.draining.into_iter().map(HostId::from).collect();
+            self.drains_heard = now;
+        }
+        for host in fit {
+            self.wake(Event::Machine(host));
+        }
+    }
+
+    /// Tells the others what we see, once a second.
+    pub(super) fn keep_peers(&mut self) {
+        if self.leading().is_none()
+            && !self.drains.is_empty()
+            && self.now.since(self.drains_heard) > DRAIN_HOLDS
+        {
+            self.drains.clear();
+        }
+        if self.now.since(self.status_sent) < STATUS_EVERY {
+            return;
+        }
+        self.status_sent = self.now;
+        let round = self.now.0 / STATUS_EVERY.0 % TOLD_AGAIN;
+        let (mut machines, mut views) = (Vec::new(), Vec::new());
+        for machine in self.machines.values() {
+            let token = self.leases.holds(&machine.block, &self.me);
+            if token != Some(machine.baton.token()) {
+                continue;
+            }
+            machines.push(Pulse {
+                host: machine.host.to_string(),
+                silent_ms: self.now.since(machine.heard).0,
+                session: machine.session.0,
+                doubtful: !machine.hearing.proved(),
+                warned: machine.warned,
+                sick: machine.sick,
+                draining: self.drains.contains(&machine.host),
+            });
+            // The same images in any order give the same sum.
+            let images = machine
+                .images
+                .keys()
+                .map(|image| FxBuildHasher.hash_one(image));
+            let images = images.fold(0u64, u64::wrapping_add);
+            let state = FxBuildHasher.hash_one((machine.address, images));
+            let changed = self.told.insert(machine.host.clone(), state) != Some(state);
+            let turn = FxBuildHasher.hash_one(&machine.host) % TOLD_AGAIN;
+            if changed || turn == round {
+                views.push(MachineView {
+                    host: machine.host.to_string(),
+                    address: machine.address.map(|a| a.to_string()).unwrap_or_default(),
+                    rig: machine.rig.as_str().into(),
+                    zone: machine.zone.as_str().into(),
+                    spot: machine.spot,
+                    images: machine
+                        .images
+                        .iter()
+                        .map(|(image, cached)| (image.as_str().into(), (cached.gb * 1e3) as u64))
+                        .collect(),
+                });
+            }
+        }
+        let (known, now) = (&self.machines, self.now);
+        self.heard_of
+            .retain(|host, heard| !known.contains_key(host) && now.since(*heard) < HEARD_OF);
+        self.told.retain(|host, _| known.contains_key(host));
+        let draining = if self.leading().is_some() {
+            // What is placed on a machine that is being deleted dies at once: its holder places nothing there
+            // either.
+            let gone = self.fleet.gone.iter();
+            let gone = gone.filter(|host| self.machines.contains_key(*host));
+            let leaving = self.fleet.deleting.union(&self.drains).chain(gone);
+            leaving.map(|host| host.to_string()).collect()
+        } else {
+            Vec::new()
+        };
+        let said = self.shared.said.get(&self.me).copied().unwrap_or_default();
+        let status = Status {
+            permit: self.leases.permit().map(|permit| permit.0),
+            plan: said.obeys.0,
+            used_milli: (said.demand.used * 1e3) as u64,
+            waiting: said.demand.waiting as u64,
+            revision: self.applied.0,
+            without_store_ms: self.without_store().0,
+            hears: self.hears && self.now.since(self.last_report) <= self.silence(),
+            blocks: self
+                .leases
+                .blocks
+                .iter()
+                .filter(|(_, (holder, _))| *holder == self.me)
+                .map(|(block, (_, token))| (block.to_string(), token.0))
+                .collect(),
+            machines,
+            views,
+            draining,
+        };
+        for member in &self.settings.members {
+            let (to, message) = (member.label.clone(), Message::Status(status.clone()));
+            self.effects.push(Effect::Peer { to, message });
+        }
+    }
+}
--- a/src/controller/placing/tests.rs
+++ b/src/controller/placing/tests.rs
@@ -3,6 +3,8 @@
 use crate::jobs::Task;
 use crate::jobs::api::{parse, tests::body};
 use crate::jobs::record::job_key;
+use crate::peers::{Pulse, Status};
+use crate::types::{Revision, Session};
 
 /// A message between controllers takes a millisecond, the watch up to a pause of its own: jobs
 /// that were handed to the leader at once were unknown there, and waited a second.
--- /dev/null
+++ b/src/controller/preempting.rs
@@ -0,0 +1,268 @@
+//! Preemption, the post-filter of the cycle: whom to stop so that a task, or a gang, finds room.
+
+use std::collections::BTreeMap;
+
+use super::{Controller, Effect};
+use crate::cycle::Asking;
+use crate::fleet::fetch_rate;
+use crate::jobs::Shape;
+use crate::jobs::cache::Job;
+use crate::peers::Message;
+use crate::preempt::{self, Offer, Site, Victim};
+use crate::quota;
+use crate::types::{HostId, JobId, Millis, Room, TaskId, Zone};
+use crate::workers::Machine;
+use crate::workers::reconcile::Stop;
+
+/// A guarantee takes room from another team's replicas after its job waited this long.
+const REPLICAS_GIVE_WAY: Millis = Millis(20_000);
+/// Room is kept this long for the job that it was made for.
+const NOMINATED: Millis = Millis(20_000);
+
+/// Where room may be made.
+pub(super) enum Where {
+    /// On this machine of ours.
+    On(HostId),
+    /// Where the job would start soonest, if that is by stopping work rather than by a fetch.
+    Quickest,
+    Anywhere,
+}
+
+impl Controller {
+    /// Whether a task may be stopped for the job, by priority or by the teams' flat guarantees.
+    /// With a tree of quotas its teams may be stopped as far as that allows; the ledger judges it.
+    pub(super) fn may_stop(&self, job: &Job, guaranteed: bool, victim: &Job) -> (bool, bool) {
+        let lower = victim.spec.rank < job.spec.rank;
+        // Work beyond its team's guarantee gives way to another team's guarantee; replicas only
+        // when nothing else made room for a while.
+        let patient = self.now.since(job.settled) > REPLICAS_GIVE_WAY;
+        let gives = guaranteed
+            && (victim.spec.shape != Shape::Service || patient)
+            && victim.spec.team != job.spec.team;
+        let nested = self.in_tree(&job.spec.team) && self.in_tree(&victim.spec.team);
+        let flat = || {
+            self.settings.team(&victim.spec.team).is_some_and(|team| {
+                let left = self.jobs.usage(&team.name).minus(victim.spec.room);
+                !quota::guaranteed(left, team)
+            })
+        };
+        (lower || gives && !nested && flat(), gives && nested)
+    }
+
+    /// Seconds that stopping a task wastes: saving, or its work so far, and starting it again.
+    pub(super) fn waste(&self, victim: &Job) -> f64 {
+        let spec = &victim.spec;
+        let whole = self.flavors.first().map(|f| f.room);
+        let share = victim.spec.room.share_of(whole.unwrap_or(victim.spec.room));
+        let lost = if spec.cheap_to_kill() {
+            spec.checkpoint_s / 2.0 + 2.0
+        } else if spec.checkpoint_s > 0.0 {
+            spec.save_s + 5.0
+        } else {
+            spec.estimate_s.max(120.0)
+        };
+        // One that is late, or long, can afford it least.
+        let age = self.now.since(victim.born).secs();
+        let late = (age + spec.estimate_s) / spec.due_s.unwrap_or(600.0).max(1.0);
+        lost * share * (0.5 + late)
+    }
+
+    /// Stops work of lower order on the machine where that wastes least, and keeps its room for
+    /// the job. The leader looks at the whole fleet and leaves the stopping to the machine's
+    /// holder.
+    pub(super) fn preempt(&mut self, id: &JobId, place: Where) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let guaranteed = !self.order(job).beyond_guarantee;
+        let asking = Asking::new(job, Vec::new());
+        let sites: Vec<Site> = self
+            .machines
+            .values()
+            .filter(|m| match &place {
+                Where::On(host) => m.host == *host && self.ours(m),
+                Where::Quickest | Where::Anywhere => self.ours(m) || self.others(m),
+            })
+            .filter(|m| job.spec.allows(&m.rig, &m.zone, m.spot))
+            .filter(|m| asking.zone_allowed(&m.zone))
+            .map(|machine| self.site(job, guaranteed, machine))
+            .collect();
+        let room = job.spec.room;
+        let most = match &place {
+            Where::Anywhere => Self::claims(job),
+            Where::On(_) | Where::Quickest => 1,
+        };
+        let offers = match self.ledger(job) {
+            Some(ledger) => {
+                let offers = ledger.clone().plan(room, sites.clone(), most);
+                if offers.is_empty() && !matches!(place, Where::Quickest) {
+                    let gathered = self.gather(id, ledger, &sites);
+                    let asked = matches!(place, Where::On(_));
+                    return gathered.is_some_and(|gathered| {
+                        (asked || self.may_gather(id)) && self.gather_on(id, gathered)
+                    });
+                }
+                offers
+            }
+            None => preempt::choose(room, sites).into_iter().collect(),
+        };
+        let Some(first) = offers.first() else {
+            return false;
+        };
+        if matches!(place, Where::Quickest) && first.victims.is_empty() {
+            return false;
+        }
+        let several = offers.len() > 1;
+        let until = self.now + self.kept_for(id, &offers).unwrap_or(NOMINATED);
+        for Offer { host, victims, .. } in offers {
+            tracing::info!(job = %id, %host, ?victims, "making room");
+            self.nominations.add(id, &host, room, until);
+            match self.machines.get(&host) {
+                Some(machine) if !self.ours(machine) => {
+                    let to = machine.heard_by.clone();
+                    let (job, host) = (id.to_string(), host.to_string());
+                    let message = if several {
+                        Message::MakeRoom { job, host }
+                    } else {
+                        let preempt = Some(host);
+                        Message::Place { job, preempt }
+                    };
+                    self.effects.push(Effect::Peer { to, message });
+                }
+                _ => self.stop_victims(&host, victims),
+            }
+        }
+        true
+    }
+
+    pub(super) fn stop_victims(&mut self, host: &HostId, victims: Vec<TaskId>) {
+        for task in victims {
+            let attempt = self
+                .jobs
+                .get(&task.job)
+                .and_then(|job| job.task(task.index).placement())
+                .map(|placement| placement.attempt);
+            let save = !self
+                .jobs
+                .get(&task.job)
+                .is_some_and(|j| j.spec.cheap_to_kill());
+            if let Some(attempt) = attempt {
+                self.stops.insert(task, Stop { attempt, save });
+            }
+        }
+        self.poke(host);
+    }
+
+    /// Where a gang would start soonest, all in one zone if it must: on machines that are free, and
+    /// on those where stopping lower work wastes less than a fetch.
+    pub(super) fn gang_offers(&self, id: &JobId) -> Option<Vec<Offer>> {
+        let job = self.jobs.get(id)?;
+        let guaranteed = !self.order(job).beyond_guarantee;
+        let (room, count) = (job.spec.room, job.record.tasks as usize);
+        let asking = Asking::new(job, self.full_blocks(job, Some(job.record.tasks)));
+        let mut zones: BTreeMap<Option<&Zone>, Vec<Site>> = BTreeMap::new();
+        for host in self.pool.own.iter().chain(&self.pool.others) {
+            let Some(machine) = self.machines.get(host) else {
+                continue;
+            };
+            if !job.spec.allows(&machine.rig, &machine.zone, machine.spot)
+                || !asking.allows(machine)
+            {
+                continue;
+            }
+            let zone = job.spec.one_zone.then_some(&machine.zone);
+            let site = self.site(job, guaranteed, machine);
+            zones.entry(zone).or_default().push(site);
+        }
+        let ledger = self.ledger(job);
+        let sets = zones.into_values().map(|sites| match &ledger {
+            Some(ledger) => ledger.clone().plan_all(room, sites, count),
+            None => {
+                let offers = sites.iter().filter_map(|site| preempt::offer(room, site));
+                offers.collect()
+            }
+        });
+        preempt::cheapest_set(sets, count)
+    }
+
+    /// Makes room for all tasks of a gang. Each machine's holder does it and keeps the room.
+    pub(super) fn make_room_for_gang(&mut self, id: &JobId) -> bool {
+        let Some(offers) = self.gang_offers(id) else {
+            return false;
+        };
+        let Some(room) = self.jobs.get(id).map(|job| job.spec.room) else {
+            return false;
+        };
+        tracing::info!(job = %id, hosts = ?offers.iter().map(|o| &o.host).collect::<Vec<_>>(),
+            "making room for a gang");
+        let until = self.now + NOMINATED;
+        for offer in offers {
+            self.nominations.add(id, &offer.host, room, until);
+            match self.machines.get(&offer.host) {
+                Some(machine) if !self.ours(machine) => {
+                    let to = machine.heard_by.clone();
+                    let (job, host) = (id.to_string(), offer.host.to_string());
+                    let message = Message::MakeRoom { job, host };
+                    self.effects.push(Effect::Peer { to, message });
+                }
+                _ => self.stop_victims(&offer.host, offer.victims),
+            }
+        }
+        true
+    }
+
+    /// What could be stopped on a machine for the job.
+    pub(super) fn site(&self, job: &Job, guaranteed: bool, machine: &Machine) -> Site {
+        let victim = |(id, index): &(JobId, u32)| {
+            let task = TaskId {
+                job: id.clone(),
+                index: *index,
+            };
+            let victim = self.jobs.get(id)?;
+            let leaving = self.stops.contains_key(&task) || !victim.active();
+            let (lower, borrowed) = if leaving || victim.whole_gang() {
+                (false, false)
+            } else {
+                self.may_stop(job, guaranteed, victim)
+            };
+            (leaving || lower || borrowed).then(|| Victim {
+                task,
+                room: victim.spec.room,
+                rank: victim.spec.rank,
+                waste_s: self.waste(victim),
+                leaving,
+                lower,
+                team: borrowed.then(|| victim.spec.team.clone()),
+                over: None,
+            })
+        };
+        let victims = self
+            .jobs
+            .on_host(&machine.host)
+            .filter_map(victim)
+            .collect();
+        let rate = fetch_rate(&self.flavors, &machine.rig);
+        let (image, gb) = (&job.spec.image, job.spec.image_gb);
+        Site {
+            host: machine.host.clone(),
+            free: self.free_for(machine, &job.id),
+            victims,
+            delay_s: machine.image_s(image, gb, rate, self.now),
+            nested: false,
+        }
+    }
+
+    /// Free room, without what is being made for others of no lower priority.
+    pub(super) fn free_for(&self, machine: &Machine, id: &JobId) -> Room {
+        let mut free = self.free(machine);
+        let mut rank = None;
+        for (other, room) in self.nominations.on(&machine.host, self.now) {
+            let rank = rank.get_or_insert_with(|| self.jobs.get(id).map(|job| job.spec.rank));
+            let above = |job: &Job| *rank <= Some(job.spec.rank);
+            if other != id && self.jobs.get(other).is_some_and(above) {
+                free = free.minus(room);
+            }
+        }
+        free
+    }
+}
