--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::{After, Controller, Purpose};
+use super::{After, Controller, Pool, Purpose};
 use crate::admission::shared::PLAN;
 use crate::fleet::FLAVORS;
 use crate::jobs::cache::{Jobs, Touched, Writing};
@@ -325,6 +325,7 @@
         self.ended_old = false;
         self.leases.lose(&self.me);
         self.jobs = Jobs::default();
+        self.pool = Pool::default();
         self.leases.nodes.clear();
         self.leases.blocks.clear();
         self.leases.leader = None;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -19,6 +19,7 @@
 mod trying;
 mod users;
 mod waiting;
+pub mod work;
 mod zones;
 
 use std::net::SocketAddr;
@@ -32,6 +33,7 @@
 use crate::admission::Flows;
 use crate::admission::backlog::Backlog;
 use crate::admission::shared::Shared;
+use crate::cycle::index::FreeRoom;
 use crate::fleet::{CloudAnswer, CloudCall, Flavor, Fleet};
 use crate::jobs::api::{Refusal, Refused, Response};
 use crate::jobs::cache::Jobs;
@@ -54,6 +56,7 @@
 use crate::workers::wire::{Order, Report, ReportAnswer};
 use crate::zones::keep::Keeping;
 use crate::zones::silence::Zones;
+use work::Work;
 
 /// A worker's answer to orders that were sent to it directly: its report after them, or what it
 /// refused them with.
@@ -324,16 +327,16 @@
     }
 }
 
-/// Machines that can take tasks, as last looked at, so that a cycle does not ask each machine of
-/// the fleet whether it is fit.
+/// Machines that can take tasks.
 #[derive(Debug, Default)]
 struct Pool {
+    /// When all machines were last looked over.
     built: Millis,
-    stale: bool,
     /// More machines are empty than stand ready for urgent work.
     spare: bool,
-    own: Vec<HostId>,
-    others: Vec<HostId>,
+    room: FreeRoom,
+    /// Hosts of which something else than what is taken has changed.
+    touched: Vec<HostId>,
 }
 
 /// Work that came and should not have to wait for a machine to boot.
@@ -431,6 +434,7 @@
     stops: Stops,
     nominations: Nominations,
     pool: Pool,
+    work: Work,
     /// Jobs with changes that the cycles of this event noted.
     to_commit: Vec<JobId>,
     ends: Ends,
@@ -534,6 +538,7 @@
             stops: Stops::default(),
             nominations: Nominations::default(),
             pool: Pool::default(),
+            work: Work::default(),
             to_commit: Vec::new(),
             ends: Ends::default(),
             flows: Flows::new(&settings),
@@ -694,6 +699,11 @@
         self.leading().is_some()
     }
 
+    /// What this controller looked at since it started.
+    pub fn work(&self) -> &Work {
+        &self.work
+    }
+
     /// How many machines of its own blocks this controller knows.
     pub fn machines_held(&self) -> usize {
         let held = |machine: &&Machine| self.token_for(&machine.block).is_some();
--- a/src/controller/peering.rs
+++ b/src/controller/peering.rs
@@ -126,6 +126,7 @@
                 (image.into(), Cached { used: now, gb })
             };
             machine.images = view.images.into_iter().map(cached).collect();
+            self.pool.touched.push(machine.host.clone());
         }
         for pulse in status.machines {
             let host = HostId::from(pulse.host);
--- a/src/controller/placing.rs
+++ b/src/controller/placing.rs
@@ -110,6 +110,7 @@
             return false;
         }
         let order = self.order(job);
+        self.work.cycles.add(1);
         if self.hold_suspect(id, order) {
             return false;
         }
@@ -305,7 +306,8 @@
         } else {
             (Scope::Own, None)
         };
-        if count > 1 && scope == Scope::All && !self.pool.stale {
+        if count > 1 && scope == Scope::All {
+            self.refresh_pool();
             let hosts: Option<Vec<HostId>> = match self.nominations.of(id, self.now) {
                 Some(hosts) => Some(hosts.to_vec()),
                 None => match self.gang_offers(id) {
--- a/src/controller/pool.rs
+++ b/src/controller/pool.rs
@@ -2,17 +2,25 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{Controller, Pool};
-use crate::cycle::{self, Asking, Candidate};
+use super::Controller;
+use crate::cycle::index::{Class, Entry, Group, Having, Level};
+use crate::cycle::{self, Asking, Candidate, Choice};
 use crate::fleet::{Flavor, fetch_rate};
 use crate::jobs::cache::Job;
 use crate::queue::Check;
-use crate::types::{HostId, JobId, Millis, Room, Sku, Zone};
+use crate::types::{HostId, Image, JobId, Millis, Room, Sku, Zone};
 use crate::workers::Machine;
 
 /// The fleet is looked over again after this long.
 const POOL_HOLDS: Millis = Millis(200);
 
+/// Machines of a class differ in little that a cycle sees, so it looks at so many that would do.
+const MOST_OF_CLASS: usize = 8;
+/// Machines that would do, of those with the job's image and of all, after which a cycle looks no further.
+const MOST_CONSIDERED: usize = 256;
+/// And of one group of machines at least so many.
+const LEAST_OF_GROUP: usize = 16;
+
 /// Whose machines a cycle looks at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Scope {
@@ -59,43 +67,167 @@
             && !self.fleet.gone.contains(&machine.host)
     }
 
-    /// Looks over the fleet again if something came up since, or that was a while ago.
+    /// Brings the index of free room up to date: with what has changed, and once in a while with all
+    /// machines, since some become fit or unfit as time passes.
     pub(super) fn refresh_pool(&mut self) {
-        if !self.pool.stale && self.now.since(self.pool.built) < POOL_HOLDS {
-            return;
+        let mut changed = self.jobs.take_changed_hosts();
+        changed.extend(std::mem::take(&mut self.pool.touched));
+        if self.now.since(self.pool.built) >= POOL_HOLDS {
+            // Images are entered when a host is named; a sweep looks at the rest.
+            self.enter(changed);
+            self.sweep_pool();
+        } else {
+            self.enter(changed);
+        }
+    }
+
+    /// Enters these hosts as they stand now.
+    fn enter(&mut self, hosts: impl IntoIterator<Item = HostId>) {
+        for host in hosts {
+            let entry = self.machines.get(&host).and_then(|m| self.entry(m));
+            match entry {
+                Some(entry) => self.pool.room.update(&host, entry),
+                None => self.pool.room.remove(&host),
+            }
+        }
+    }
+
+    /// A machine as the index of free room has it; none if it can take no tasks.
+    fn entry(&self, machine: &Machine) -> Option<Entry> {
+        let own = self.ours(machine);
+        if !own && !self.others(machine) {
+            return None;
+        }
+        let mut images: Vec<Image> = machine.images.keys().cloned().collect();
+        images.sort();
+        Some(Entry {
+            group: Group {
+                own,
+                block: machine.block.clone(),
+                rig: machine.rig.clone(),
+                spot: machine.spot,
+            },
+            level: self.level(machine),
+            images,
+        })
+    }
+
+    fn level(&self, machine: &Machine) -> Level {
+        let on_it = self.jobs.host_use(&machine.host);
+        let free = self.whole(machine).minus(on_it.taken);
+        Level::new(free, on_it.soft, machine.coming.len())
+    }
+
+    /// Looks over all machines. What the index should have known is entered, and said.
+    fn sweep_pool(&mut self) {
+        let mut stale: Vec<HostId> = Vec::new();
+        let mut usable = 0;
+        for (host, machine) in &self.machines {
+            let own = self.ours(machine);
+            if !own && !self.others(machine) {
+                continue;
+            }
+            usable += 1;
+            let level = self.level(machine);
+            let stands = self.pool.room.stands(host, own, &machine.block, level);
+            if !stands {
+                stale.push(host.clone());
+            }
+        }
+        self.work.swept.add(self.machines.len());
+        let entered = stale.len();
+        self.enter(stale);
+        if self.pool.room.len() > usable {
+            let unfit = |host: &&HostId| {
+                let machine = self.machines.get(*host);
+                machine.is_none_or(|m| !self.ours(m) && !self.others(m))
+            };
+            let unfit: Vec<HostId> = self.pool.room.hosts().filter(unfit).cloned().collect();
+            for host in unfit {
+                self.pool.room.remove(&host);
+            }
         }
-        let fit = |usable: &dyn Fn(&Machine) -> bool| {
-            let machines = self.machines.values().filter(|m| usable(m));
-            machines.map(|m| m.host.clone()).collect()
-        };
-        let own: Vec<HostId> = fit(&|m| self.ours(m));
-        let others: Vec<HostId> = fit(&|m| self.others(m));
-        let (built, stale) = (self.now, false);
-        let empty = |host: &&HostId| !self.jobs.busy(host);
-        let all = || own.iter().chain(&others);
         let ready: u32 = self.headroom().iter().map(|h| h.machines).sum();
-        let spare = all().filter(empty).count() > ready as usize;
-        self.pool = Pool {
-            built,
-            stale,
-            spare,
-            own,
-            others,
-        };
+        let empty = self.pool.room.hosts().filter(|host| !self.jobs.busy(host));
+        self.pool.spare = empty.count() > ready as usize;
+        self.pool.built = self.now;
+        tracing::trace!(usable, entered, "looked over the fleet");
     }
 
-    pub(super) fn candidates<'a>(
+    /// The index of free room against a full recount: what differs, if anything.
+    pub fn recount_pool(&mut self) -> Vec<String> {
+        self.refresh_pool();
+        self.sweep_pool();
+        let mut differs = Vec::new();
+        for (host, entry) in self.pool.room.entries() {
+            let machine = self.machines.get(host);
+            let should = machine.and_then(|machine| self.entry(machine));
+            if should.as_ref() != Some(entry) {
+                differs.push(format!("{host}: {entry:?}, should be {should:?}"));
+            }
+        }
+        let usable = self.machines.values().filter(|m| self.entry(m).is_some());
+        let usable = usable.count();
+        if usable != self.pool.room.len() {
+            let entered = self.pool.room.len();
+            differs.push(format!("{entered} machines entered, {usable} usable"));
+        }
+        differs
+    }
+
+    /// Groups of machines that a job allows, within a scope and a zone.
+    pub(super) fn groups<'a>(
         &'a self,
-        job: &'a Job,
+        job: &Job,
         scope: Scope,
-        zone: Option<&'a Zone>,
-    ) -> impl Iterator<Item = Candidate<'a>> {
-        let own = self.pool.own.iter().filter(move |_| scope != Scope::Others);
-        let others = self.pool.others.iter().filter(move |_| scope != Scope::Own);
-        own.chain(others)
-            .filter_map(|host| self.machines.get(host))
-            .filter(move |m| zone.is_none_or(|zone| m.zone == *zone))
-            .map(move |machine| self.candidate(job, machine))
+        zone: Option<&Zone>,
+    ) -> Vec<&'a Group> {
+        let groups = self.pool.room.groups();
+        let groups = groups.filter(|group| match scope {
+            Scope::Own => group.own,
+            Scope::Others => !group.own,
+            Scope::All => true,
+        });
+        let groups = groups.filter(|group| {
+            zone.is_none_or(|zone| group.zone() == zone)
+                && job.spec.allows(&group.rig, group.zone(), group.spot)
+        });
+        groups.collect()
+    }
+
+    /// Visits machines of a group on which a task of the job fits by the index: a few of each class, fullest
+    /// and emptiest classes in turn, until so many have passed. Returns how many did.
+    pub(super) fn visit<'a>(
+        &'a self,
+        having: Having,
+        group: &'a Group,
+        job: &Job,
+        most: usize,
+        mut passes: impl FnMut(Candidate<'a>) -> bool,
+    ) -> usize {
+        let classes: Vec<Class> = self
+            .pool
+            .room
+            .fitting(having, group, job.spec.room)
+            .collect();
+        let mut passed = 0;
+        for class in from_both_ends(&classes) {
+            let mut of_class = 0;
+            for host in class.hosts {
+                if of_class == MOST_OF_CLASS || passed == most {
+                    break;
+                }
+                let Some(machine) = self.machines.get(host) else {
+                    continue;
+                };
+                self.work.candidates.add(1);
+                if passes(self.candidate(job, machine)) {
+                    of_class += 1;
+                    passed += 1;
+                }
+            }
+        }
+        passed
     }
 
     /// A machine as a cycle for the job sees it.
@@ -129,16 +261,54 @@
             };
             let mut asking = Asking::new(job, self.full_blocks(job, raise));
             asking.keeps_off_empty = self.keeps_off_empty(job);
-            let host = cycle::choose(&asking, self.candidates(job, scope, zone))?;
+            let host = self.survey(&asking, scope, zone)?;
             let usable = |m: &Machine| self.ours(m) || self.others(m);
             if self.machines.get(&host).is_some_and(usable) {
                 return Ok(host);
             }
-            // Not fit any more: the pool is behind.
-            self.pool.stale = true;
+            // Not fit any more: the index is behind.
+            self.pool.room.remove(&host);
         }
     }
 
+    /// The best machine for a task: of those with its image, and of a few of each other class.
+    fn survey(
+        &self,
+        asking: &Asking,
+        scope: Scope,
+        zone: Option<&Zone>,
+    ) -> Result<HostId, BTreeSet<Check>> {
+        let job = asking.job;
+        let mut choice = Choice::default();
+        let mut open = Vec::new();
+        for group in self.groups(job, scope, zone) {
+            let whole = self.flavor(&group.rig).map(|f| f.room).unwrap_or_default();
+            let ever = job.spec.room.fits_in(whole);
+            if ever && self.pool.room.any_too_full(group, job.spec.room) {
+                choice.reject(Check::Room);
+            }
+            match asking.closes(&group.block) {
+                None => open.push(group),
+                Some(check) => {
+                    let having = Having::Any;
+                    let fits = self.pool.room.fitting(having, group, job.spec.room);
+                    if fits.count() > 0 {
+                        choice.reject(check);
+                    }
+                }
+            }
+        }
+        let most = (MOST_CONSIDERED / open.len().max(1)).max(LEAST_OF_GROUP);
+        for having in [Having::Image(&job.spec.image), Having::Any] {
+            for group in &open {
+                self.visit(having, group, job, most, |candidate| {
+                    choice.consider(asking, &candidate)
+                });
+            }
+        }
+        choice.made()
+    }
+
     /// Whether a machine, ours or another's, has room and the job's image; for a gang, whether as
     /// many as it needs do.
     pub(super) fn cached(&mut self, id: &JobId, scope: Scope) -> bool {
@@ -147,17 +317,35 @@
             return false;
         };
         let asking = Asking::new(job, self.full_blocks(job, None));
-        let mut cached = self.candidates(job, scope, None).filter(|candidate| {
-            cycle::filter(&asking, candidate).is_none()
-                && candidate.machine.images.contains_key(&job.spec.image)
-        });
+        let having = Having::Image(&job.spec.image);
+        let groups = self.groups(job, scope, None);
+        let mut open = groups
+            .into_iter()
+            .filter(|g| asking.closes(&g.block).is_none());
         if !job.whole_gang() {
-            return cached.next().is_some();
+            return open.any(|group| {
+                let passes = |c: Candidate| cycle::filter(&asking, &c).is_none();
+                self.visit(having, group, job, 1, passes) > 0
+            });
         }
         let mut zones: BTreeMap<Option<&Zone>, u32> = BTreeMap::new();
-        for candidate in cached {
-            let zone = job.spec.one_zone.then_some(&candidate.machine.zone);
-            *zones.entry(zone).or_default() += candidate.free.holds(job.spec.room);
+        for group in open {
+            let zone = job.spec.one_zone.then_some(group.zone());
+            let tasks = zones.entry(zone).or_default();
+            let classes = self.pool.room.fitting(having, group, job.spec.room);
+            for machine in classes.flat_map(|class| class.hosts) {
+                if *tasks >= job.record.tasks {
+                    return true;
+                }
+                let Some(machine) = self.machines.get(machine) else {
+                    continue;
+                };
+                self.work.candidates.add(1);
+                let candidate = self.candidate(job, machine);
+                if cycle::filter(&asking, &candidate).is_none() {
+                    *tasks += candidate.free.holds(job.spec.room);
+                }
+            }
         }
         zones.values().any(|tasks| *tasks >= job.record.tasks)
     }
@@ -170,10 +358,15 @@
         };
         let asking = Asking::new(job, Vec::new());
         let mut room: BTreeMap<&Zone, u32> = BTreeMap::new();
-        for candidate in self.candidates(job, scope, None) {
-            if cycle::filter(&asking, &candidate).is_none() {
-                let each = candidate.free.holds(job.spec.room);
-                *room.entry(&candidate.machine.zone).or_default() += each;
+        for group in self.groups(job, scope, None) {
+            if asking.closes(&group.block).is_some() {
+                continue;
+            }
+            for class in self.pool.room.fitting(Having::Any, group, job.spec.room) {
+                let each = class.level.free().holds(job.spec.room);
+                let there = each.saturating_mul(class.hosts.len() as u32);
+                let sum = room.entry(group.zone()).or_default();
+                *sum = sum.saturating_add(there);
             }
         }
         let mut zones: Vec<(u32, &Zone)> = room.into_iter().map(|(z, n)| (n, z)).collect();
@@ -182,3 +375,16 @@
         zones.into_iter().map(|(_, zone)| zone.clone()).collect()
     }
 }
+
+/// The first, the last, the second, the last but one, and so on.
+fn from_both_ends<'a, 'b>(classes: &'b [Class<'a>]) -> impl Iterator<Item = &'b Class<'a>> {
+    let last = classes.len().saturating_sub(1);
+    (0..classes.len()).map(move |turn| {
+        let step = turn / 2;
+        let index = if turn % 2 == 0 { step } else { last - step };
+        &classes[index]
+    })
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/controller/pool/tests.rs
@@ -0,0 +1,183 @@
+use super::*;
+use crate::controller::committing::tests::controller;
+use crate::jobs::api::{parse, tests::body};
+use crate::jobs::record::{JobRecord, encode_page, job_key, page_key};
+use crate::jobs::{Phase, Placement, Rank, Shape, Spec, Task};
+use crate::types::{Attempt, Baton, BlockId, Revision, Session, Token};
+
+const NOW: Millis = Millis(10_000);
+
+fn spec(gpus: f64, rank: Rank) -> Spec {
+    let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+    (spec.shape, spec.tasks, spec.rank) = (Shape::Array, 4, rank);
+    spec.room = Room {
+        cpus: gpus * 10.0,
+        gpus,
+        memory_gb: gpus * 60.0,
+    };
+    (spec.one_zone, spec.spread, spec.rigs) = (false, false, None);
+    spec
+}
+
+fn host(index: usize) -> HostId {
+    format!("vm-{index:05}").into()
+}
+
+/// A controller with machines of its own, of which some are taken by an array of whole machines.
+fn fleet(machines: usize, taken: impl Fn(usize) -> bool) -> (Controller, JobId) {
+    let (mut controller, id) = controller(spec(1.0, Rank::Urgent), vec![Task::FRESH; 4]);
+    controller.machines.clear();
+    controller.now = NOW;
+    let block = BlockId::parse("a.0").unwrap();
+    for index in 0..machines {
+        let (host, zone) = (host(index), "a".into());
+        let mut machine = Machine::new(host, "g8".into(), zone, false, block.clone(), "n0".into());
+        machine.hearing.prove();
+        (machine.heard, machine.reported) = (NOW, NOW);
+        machine.baton = Baton::of(Token(5));
+        machine.answered = Some((Token(5), NOW));
+        controller.machines.insert(machine.host.clone(), machine);
+    }
+    let placed = (0..machines).filter(|index| taken(*index)).map(|index| {
+        Task::Placed(Placement {
+            host: host(index),
+            block: block.clone(),
+            session: Session(1),
+            attempt: Attempt(1),
+        })
+    });
+    let tasks: Vec<Task> = placed.collect();
+    if !tasks.is_empty() {
+        occupy(&mut controller, tasks);
+    }
+    controller.refresh_pool();
+    (controller, id)
+}
+
+fn occupy(controller: &mut Controller, tasks: Vec<Task>) {
+    let mut spec = spec(8.0, Rank::Normal);
+    spec.tasks = tasks.len() as u32;
+    let id = JobId::from("job-7");
+    let record = JobRecord {
+        phase: Phase::Active,
+        home: "n1".into(),
+        tasks: spec.tasks,
+        page: spec.tasks,
+        spec: Some(spec),
+    };
+    let record = serde_json::to_string(&record).unwrap();
+    controller.feed(&job_key(&id), Some(&record), Revision(20));
+    let page = encode_page(&tasks);
+    controller.feed(&page_key(&id, 0), Some(&page), Revision(21));
+}
+
+/// What a cycle looked at grew with the fleet, several times for each job, so that a leader's work grew
+/// with the square of the size.
+#[test]
+fn what_is_looked_at_does_not_grow_with_the_fleet() {
+    struct Case {
+        name: &'static str,
+        taken: fn(usize) -> bool,
+        /// Machines that a cycle, or making room, may look at.
+        most: u64,
+        step: fn(&mut Controller, &JobId),
+    }
+    let choose: fn(&mut Controller, &JobId) = |controller, id| {
+        let _ = controller.choose(id, Scope::All, None, None);
+    };
+    let cached: fn(&mut Controller, &JobId) = |controller, id| {
+        controller.cached(id, Scope::All);
+    };
+    let preempt: fn(&mut Controller, &JobId) = |controller, id| {
+        let place = super::super::preempting::Where::Anywhere;
+        assert!(controller.preempt(id, place));
+    };
+    let cases = [
+        Case {
+            name: "an empty fleet",
+            taken: |_| false,
+            most: 16,
+            step: choose,
+        },
+        Case {
+            name: "a full fleet",
+            taken: |_| true,
+            most: 0,
+            step: choose,
+        },
+        Case {
+            name: "one machine free",
+            taken: |index| index != 50,
+            most: 2,
+            step: choose,
+        },
+        Case {
+            name: "whose image is nowhere",
+            taken: |_| false,
+            most: 0,
+            step: cached,
+        },
+        Case {
+            name: "room made in a full fleet",
+            taken: |_| true,
+            most: 64,
+            step: preempt,
+        },
+    ];
+    for case in cases {
+        for machines in [100, 1_000, 10_000] {
+            let (mut controller, id) = fleet(machines, case.taken);
+            let before = controller.work.candidates.get() + controller.work.sites.get();
+            (case.step)(&mut controller, &id);
+            let looked = controller.work.candidates.get() + controller.work.sites.get() - before;
+            let name = case.name;
+            assert!(looked <= case.most, "{name}, {machines}: {looked}");
+        }
+    }
+}
+
+/// The index follows what is placed, what leaves, which images come and which machines can take tasks.
+#[test]
+fn the_index_is_what_a_recount_gives() {
+    type Step = (&'static str, fn(&mut Controller));
+    let steps: [Step; 5] = [
+        ("nothing", |_| {}),
+        ("a task is placed", |controller| {
+            let placed = Task::Placed(Placement {
+                host: host(3),
+                block: BlockId::parse("a.0").unwrap(),
+                session: Session(1),
+                attempt: Attempt(1),
+            });
+            occupy(controller, vec![placed]);
+        }),
+        ("an image comes", |controller| {
+            let machine = controller.machines.get_mut(&host(4)).unwrap();
+            machine.note_image(&"img-1".into(), 1.0, 100.0, NOW);
+            controller.pool.touched.push(host(4));
+        }),
+        ("a machine falls silent", |controller| {
+            controller.now = NOW + Millis(500);
+            controller.machines.get_mut(&host(5)).unwrap().heard = Millis(0);
+            controller.now = NOW + controller.silence();
+        }),
+        ("a machine is gone", |controller| {
+            controller.machines.remove(&host(6));
+            controller.now = NOW + Millis(1_000);
+        }),
+    ];
+    for (name, step) in steps {
+        let (mut controller, _) = fleet(12, |index| index % 4 == 0);
+        step(&mut controller);
+        assert_eq!(controller.recount_pool(), Vec::<String>::new(), "{name}");
+    }
+}
+
+/// What the index misses is found by the next sweep and entered.
+#[test]
+fn a_sweep_mends_the_index() {
+    let (mut controller, _) = fleet(12, |_| false);
+    controller.pool.room.remove(&host(2));
+    controller.now = NOW + Millis(1_000);
+    assert_eq!(controller.recount_pool(), Vec::<String>::new());
+}
--- a/src/controller/preempting.rs
+++ b/src/controller/preempting.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use super::pool::Scope;
 use super::{Controller, Effect};
 use crate::cycle::Asking;
+use crate::cycle::index::{Group, Having};
 use crate::fleet::fetch_rate;
 use crate::jobs::Shape;
 use crate::jobs::cache::Job;
@@ -19,6 +21,9 @@
 /// Room is kept this long for the job that it was made for.
 const NOMINATED: Millis = Millis(20_000);
 
+/// Of one group of machines so many are weighed on which room could be made, or as many as a gang has tasks.
+const MOST_SITES: usize = 64;
+
 /// Where room may be made.
 pub(super) enum Where {
     /// On this machine of ours.
@@ -75,18 +80,10 @@
             return false;
         };
         let guaranteed = !self.order(job).beyond_guarantee;
-        let asking = Asking::new(job, Vec::new());
-        let sites: Vec<Site> = self
-            .machines
-            .values()
-            .filter(|m| match &place {
-                Where::On(host) => m.host == *host && self.ours(m),
-                Where::Quickest | Where::Anywhere => self.ours(m) || self.others(m),
-            })
-            .filter(|m| job.spec.allows(&m.rig, &m.zone, m.spot))
-            .filter(|m| asking.zone_allowed(&m.zone))
-            .map(|machine| self.site(job, guaranteed, machine))
-            .collect();
+        let sites = match &place {
+            Where::On(host) => self.site_on(job, guaranteed, host).into_iter().collect(),
+            Where::Quickest | Where::Anywhere => self.sites(job, guaranteed),
+        };
         let room = job.spec.room;
         let most = match &place {
             Where::Anywhere => Self::claims(job),
@@ -161,18 +158,12 @@
         let (room, count) = (job.spec.room, job.record.tasks as usize);
         let asking = Asking::new(job, self.full_blocks(job, Some(job.record.tasks)));
         let mut zones: BTreeMap<Option<&Zone>, Vec<Site>> = BTreeMap::new();
-        for host in self.pool.own.iter().chain(&self.pool.others) {
-            let Some(machine) = self.machines.get(host) else {
-                continue;
-            };
-            if !job.spec.allows(&machine.rig, &machine.zone, machine.spot)
-                || !asking.allows(machine)
-            {
-                continue;
+        for group in self.groups(job, Scope::All, None) {
+            if asking.closes(&group.block).is_none() {
+                let zone = job.spec.one_zone.then_some(group.zone());
+                let sites = zones.entry(zone).or_default();
+                sites.extend(self.sites_of(job, guaranteed, group, count));
             }
-            let zone = job.spec.one_zone.then_some(&machine.zone);
-            let site = self.site(job, guaranteed, machine);
-            zones.entry(zone).or_default().push(site);
         }
         let ledger = self.ledger(job);
         let sets = zones.into_values().map(|sites| match &ledger {
@@ -211,8 +202,76 @@
         true
     }
 
+    /// A machine of ours as a place where room could be made.
+    fn site_on(&self, job: &Job, guaranteed: bool, host: &HostId) -> Option<Site> {
+        let asking = Asking::new(job, Vec::new());
+        let machine = self.machines.get(host).filter(|m| {
+            self.ours(m) && job.spec.allows(&m.rig, &m.zone, m.spot) && asking.zone_allowed(&m.zone)
+        })?;
+        Some(self.site(job, guaranteed, machine))
+    }
+
+    /// Machines where room could be made for one task of the job.
+    fn sites(&self, job: &Job, guaranteed: bool) -> Vec<Site> {
+        let asking = Asking::new(job, Vec::new());
+        let groups = self.groups(job, Scope::All, None).into_iter();
+        let groups = groups.filter(|group| asking.zone_allowed(group.zone()));
+        let sites = groups.flat_map(|group| self.sites_of(job, guaranteed, group, 1));
+        sites.collect()
+    }
+
+    /// Machines of a group where room could be made for tasks of the job: those with its image that are
+    /// free, others that are free, and those where enough could be stopped. With a tree of quotas all
+    /// machines count, since its ledger weighs them against each other.
+    fn sites_of(&self, job: &Job, guaranteed: bool, group: &Group, tasks: usize) -> Vec<Site> {
+        let room = job.spec.room;
+        let all = self.ledger(job).is_some();
+        let most = if all {
+            usize::MAX
+        } else {
+            tasks.max(MOST_SITES)
+        };
+        let mut found: BTreeMap<&HostId, Site> = BTreeMap::new();
+        for having in [Having::Image(&job.spec.image), Having::Any] {
+            let free = self.pool.room.fitting(having, group, room);
+            for host in free.flat_map(|class| class.hosts).take(most) {
+                if let Some(machine) = self.machines.get(host)
+                    && !found.contains_key(host)
+                {
+                    found.insert(host, self.site(job, guaranteed, machine));
+                }
+            }
+        }
+        let borrowed = guaranteed && self.somebody_borrows();
+        let mut offered = 0;
+        let full = self.pool.room.too_full(group, room);
+        for host in full.flat_map(|class| class.hosts) {
+            if offered >= most {
+                break;
+            }
+            let Some(machine) = self.machines.get(host) else {
+                continue;
+            };
+            let lower = self.jobs.host_use(host).below(job.spec.rank);
+            if !all && !borrowed && !room.fits_in(self.free(machine).plus(lower)) {
+                continue;
+            }
+            let site = self.site(job, guaranteed, machine);
+            offered += usize::from(preempt::offer(room, &site).is_some());
+            found.insert(host, site);
+        }
+        found.into_values().collect()
+    }
+
+    /// Whether any team uses more than its flat guarantee.
+    fn somebody_borrows(&self) -> bool {
+        let mut teams = self.settings.deployment.teams.iter();
+        teams.any(|team| !quota::guaranteed(self.jobs.usage(&team.name), team))
+    }
+
     /// What could be stopped on a machine for the job.
-    pub(super) fn site(&self, job: &Job, guaranteed: bool, machine: &Machine) -> Site {
+    fn site(&self, job: &Job, guaranteed: bool, machine: &Machine) -> Site {
+        self.work.sites.add(1);
         let victim = |(id, index): &(JobId, u32)| {
             let task = TaskId {
                 job: id.clone(),
@@ -236,16 +295,16 @@
                 over: None,
             })
         };
-        let victims = self
-            .jobs
-            .on_host(&machine.host)
-            .filter_map(victim)
-            .collect();
+        let free = self.free_for(machine, &job.id);
+        // Where the task fits as it is, nobody has to be weighed, but for shares of a tree.
+        let fits = job.spec.room.fits_in(free) && !self.in_tree(&job.spec.team);
+        let on_it = self.jobs.on_host(&machine.host).filter(|_| !fits);
+        let victims = on_it.filter_map(victim).collect();
         let rate = fetch_rate(&self.flavors, &machine.rig);
         let (image, gb) = (&job.spec.image, job.spec.image_gb);
         Site {
             host: machine.host.clone(),
-            free: self.free_for(machine, &job.id),
+            free,
             victims,
             delay_s: machine.image_s(image, gb, rate, self.now),
             nested: false,
--- a/src/controller/queueing.rs
+++ b/src/controller/queueing.rs
@@ -77,12 +77,13 @@
             _ => None,
         };
         let room = machine.map(|m| (m, self.free(m)));
-        if matches!(event, Event::Machine(_)) {
-            self.pool.stale = true;
+        if let Event::Machine(host) = &event {
+            self.pool.touched.push(host.clone());
         }
         let jobs = &self.jobs;
         let mut queue = std::mem::take(&mut self.queue);
         queue.wake(self.now, |id, check| {
+            self.work.parked.add(1);
             let Some(job) = jobs.get(id) else { return true };
             // A gang waits until all of its machines are free; of other jobs any task may start.
             let all = job.whole_gang() || self.nested.force().is_none();
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -474,7 +474,9 @@
                 let others = machine.coming.len() - 1;
                 tracing::debug!(%host, image = image.as_str(), gb, took_s, others, "fetched");
             }
-            machine.note_image(image, gb, cache_gb, self.now);
+            if machine.note_image(image, gb, cache_gb, self.now) {
+                self.pool.touched.push(host.clone());
+            }
         }
     }
 
--- a/src/cycle.rs
+++ b/src/cycle.rs
@@ -1,5 +1,7 @@
 //! One scheduling cycle as pure functions: filter, score, and which checks rejected.
 
+pub mod index;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::jobs::Spec;
@@ -64,7 +66,15 @@
 
     /// Whether the machine's zone and block are open to the job.
     pub fn allows(&self, machine: &Machine) -> bool {
-        self.zone_allowed(&machine.zone) && !self.full.contains(&machine.block)
+        self.closes(&machine.block).is_none()
+    }
+
+    /// Why no machine of a block is open to the job, if none is.
+    pub fn closes(&self, block: &BlockId) -> Option<Check> {
+        if !self.zone_allowed(&block.zone) {
+            return Some(Check::Zones);
+        }
+        self.full.contains(block).then_some(Check::Share)
     }
 
     /// `oneZone` counts tasks of old attempts too, until they are proven gone; so does `spread`.
@@ -88,11 +98,8 @@
     if !spec.allows(&machine.rig, &machine.zone, machine.spot) {
         return Some(Check::Machine);
     }
-    if !asking.zone_allowed(&machine.zone) {
-        return Some(Check::Zones);
-    }
-    if asking.full.contains(&machine.block) {
-        return Some(Check::Share);
+    if let Some(check) = asking.closes(&machine.block) {
+        return Some(check);
     }
     if asking.keeps_off_empty && candidate.free == candidate.whole {
         return Some(Check::Room);
@@ -121,31 +128,59 @@
         - COLD_SECOND * spreads
 }
 
-/// The best machine, or the checks that rejected all.
+/// The choice among candidates that come one by one.
+pub struct Choice<'a> {
+    rejected: BTreeSet<Check>,
+    best: Option<(f64, &'a HostId)>,
+}
+
+impl Default for Choice<'_> {
+    fn default() -> Self {
+        Self {
+            rejected: BTreeSet::from([Check::Machine]),
+            best: None,
+        }
+    }
+}
+
+impl<'a> Choice<'a> {
+    /// Notes that machines were passed over for this.
+    pub fn reject(&mut self, check: Check) {
+        self.rejected.insert(check);
+    }
+
+    /// Looks at a candidate; whether it would do.
+    pub fn consider(&mut self, asking: &Asking, candidate: &Candidate<'a>) -> bool {
+        if let Some(check) = filter(asking, candidate) {
+            self.reject(check);
+            return false;
+        }
+        let (job, machine) = (asking.job, candidate.machine);
+        let score = score(&job.spec, candidate, machine.failed.contains_key(&job.id));
+        let better =
+            |(high, host): (f64, &HostId)| score > high || (score == high && machine.host < *host);
+        if self.best.is_none_or(better) {
+            self.best = Some((score, &machine.host));
+        }
+        true
+    }
+
+    /// The best machine, or the checks that rejected all.
+    pub fn made(self) -> Result<HostId, BTreeSet<Check>> {
+        self.best.map(|(_, host)| host.clone()).ok_or(self.rejected)
+    }
+}
+
+/// The best of these machines, or the checks that rejected all.
 pub fn choose<'a>(
     asking: &Asking,
     candidates: impl Iterator<Item = Candidate<'a>>,
 ) -> Result<HostId, BTreeSet<Check>> {
-    let job = asking.job;
-    let mut rejected = BTreeSet::from([Check::Machine]);
-    let mut best: Option<(f64, &'a HostId)> = None;
+    let mut choice = Choice::default();
     for candidate in candidates {
-        match filter(asking, &candidate) {
-            Some(check) => {
-                rejected.insert(check);
-            }
-            None => {
-                let machine = candidate.machine;
-                let score = score(&job.spec, &candidate, machine.failed.contains_key(&job.id));
-                if best.is_none_or(|(high, host)| {
-                    score > high || (score == high && machine.host < *host)
-                }) {
-                    best = Some((score, &machine.host));
-                }
-            }
-        }
+        choice.consider(asking, &candidate);
     }
-    best.map(|(_, host)| host.clone()).ok_or(rejected)
+    choice.made()
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/src/cycle/index.rs
@@ -0,0 +1,292 @@
+//! The index of free room: machines that can take tasks, by block, type and kind, by what is free on each, and
+//! by image. Kept as things change, so that a cycle visits machines that fit instead of the whole fleet.
+//!
+//! Machines of one class look alike to a cycle, but for the images in their caches: those that have a job's
+//! image are found by a second index. What the index says is a shortlist; whoever uses it asks the machine.
+
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+
+use rustc_hash::FxHashMap as HashMap;
+
+use crate::types::{BlockId, HostId, Image, Room, Sku, Zone};
+
+/// Machines that are allowed, or not, to a job as a whole.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Group {
+    /// Of a block that this controller holds.
+    pub own: bool,
+    pub block: BlockId,
+    pub rig: Sku,
+    pub spot: bool,
+}
+
+impl Group {
+    pub fn zone(&self) -> &Zone {
+        &self.block.zone
+    }
+}
+
+/// What a cycle sees of a machine, but for its images.
+#[derive(Clone, Copy, Debug)]
+pub struct Level {
+    free: Room,
+    /// Taken by work that gives way.
+    soft: Room,
+    /// Images that are being fetched.
+    fetches: usize,
+}
+
+/// Amounts are rounded to this part of one: sums that differ in their last bits are one level.
+const STEPS: f64 = 1e4;
+
+fn rounded(room: Room) -> Room {
+    // Adding zero makes a negative zero a positive one.
+    let round = |amount: f64| (amount * STEPS).round() / STEPS + 0.0;
+    Room {
+        cpus: round(room.cpus),
+        gpus: round(room.gpus),
+        memory_gb: round(room.memory_gb),
+    }
+}
+
+impl Level {
+    pub fn new(free: Room, soft: Room, fetches: usize) -> Self {
+        Self {
+            free: rounded(free),
+            soft: rounded(soft),
+            fetches,
+        }
+    }
+
+    pub fn free(self) -> Room {
+        self.free
+    }
+
+    /// The least level at which this room may be free.
+    fn least(room: Room) -> Self {
+        Self {
+            free: Room {
+                cpus: f64::NEG_INFINITY,
+                gpus: room.gpus - 1.0 / STEPS,
+                memory_gb: f64::NEG_INFINITY,
+            },
+            soft: Room::default(),
+            fetches: 0,
+        }
+    }
+
+    fn numbers(&self) -> [f64; 6] {
+        let (free, soft) = (self.free, self.soft);
+        [
+            free.gpus,
+            free.cpus,
+            free.memory_gb,
+            soft.gpus,
+            soft.cpus,
+            soft.memory_gb,
+        ]
+    }
+}
+
+/// By accelerators first: what has too few of them is passed over as a whole.
+impl Ord for Level {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let pairs = self.numbers().into_iter().zip(other.numbers());
+        let mut orders = pairs.map(|(a, b)| a.total_cmp(&b));
+        let differs = orders.find(|order| order.is_ne());
+        differs.unwrap_or_else(|| self.fetches.cmp(&other.fetches))
+    }
+}
+
+impl PartialOrd for Level {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Level {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Level {}
+
+/// A machine as it is entered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub group: Group,
+    pub level: Level,
+    /// In its cache, sorted.
+    pub images: Vec<Image>,
+}
+
+/// Machines by group and level.
+type Shelf = BTreeMap<Group, BTreeMap<Level, BTreeSet<HostId>>>;
+
+fn put(shelf: &mut Shelf, host: &HostId, group: &Group, level: Level) {
+    if !shelf.contains_key(group) {
+        shelf.insert(group.clone(), BTreeMap::new());
+    }
+    if let Some(levels) = shelf.get_mut(group) {
+        levels.entry(level).or_default().insert(host.clone());
+    }
+}
+
+fn take(shelf: &mut Shelf, host: &HostId, group: &Group, level: Level) {
+    let Some(levels) = shelf.get_mut(group) else {
+        return;
+    };
+    if let Some(hosts) = levels.get_mut(&level) {
+        hosts.remove(host);
+        if hosts.is_empty() {
+            levels.remove(&level);
+        }
+    }
+    if levels.is_empty() {
+        shelf.remove(group);
+    }
+}
+
+/// Machines of one group and one level.
+#[derive(Clone, Copy, Debug)]
+pub struct Class<'a> {
+    pub group: &'a Group,
+    pub level: Level,
+    pub hosts: &'a BTreeSet<HostId>,
+}
+
+/// Which machines a look-up is about.
+#[derive(Clone, Copy, Debug)]
+pub enum Having<'a> {
+    /// Those with this image in their cache.
+    Image(&'a Image),
+    Any,
+}
+
+/// Machines that can take tasks.
+#[derive(Debug, Default)]
+pub struct FreeRoom {
+    entries: HashMap<HostId, Entry>,
+    all: Shelf,
+    with_image: HashMap<Image, Shelf>,
+}
+
+impl FreeRoom {
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// All machines, in no order.
+    pub fn hosts(&self) -> impl Iterator<Item = &HostId> {
+        self.entries.keys()
+    }
+
+    /// All that is entered.
+    pub fn entries(&self) -> impl Iterator<Item = (&HostId, &Entry)> {
+        self.entries.iter()
+    }
+
+    /// Whether a machine is entered at this level, in such a block.
+    pub fn stands(&self, host: &HostId, own: bool, block: &BlockId, level: Level) -> bool {
+        let entry = self.entries.get(host);
+        entry.is_some_and(|entry| {
+            entry.group.own == own && entry.group.block == *block && entry.level == level
+        })
+    }
+
+    /// Enters a machine, or what has changed of it.
+    pub fn update(&mut self, host: &HostId, entry: Entry) {
+        if self.entries.get(host) == Some(&entry) {
+            return;
+        }
+        self.remove(host);
+        let (group, level) = (&entry.group, entry.level);
+        put(&mut self.all, host, group, level);
+        for image in &entry.images {
+            let shelf = self.with_image.entry(image.clone()).or_default();
+            put(shelf, host, group, level);
+        }
+        self.entries.insert(host.clone(), entry);
+    }
+
+    /// A machine can take no tasks any more.
+    pub fn remove(&mut self, host: &HostId) {
+        let Some(entry) = self.entries.remove(host) else {
+            return;
+        };
+        take(&mut self.all, host, &entry.group, entry.level);
+        for image in &entry.images {
+            if let Some(shelf) = self.with_image.get_mut(image) {
+                take(shelf, host, &entry.group, entry.level);
+                if shelf.is_empty() {
+                    self.with_image.remove(image);
+                }
+            }
+        }
+    }
+
+    fn shelf(&self, having: Having) -> Option<&Shelf> {
+        match having {
+            Having::Image(image) => self.with_image.get(image),
+            Having::Any => Some(&self.all),
+        }
+    }
+
+    /// The groups that have machines.
+    pub fn groups(&self) -> impl Iterator<Item = &Group> {
+        self.all.keys()
+    }
+
+    /// Classes of a group in which this room is free, the fullest first.
+    pub fn fitting<'a>(
+        &'a self,
+        having: Having,
+        group: &'a Group,
+        room: Room,
+    ) -> impl Iterator<Item = Class<'a>> + use<'a> {
+        let levels = self.shelf(having).and_then(|shelf| shelf.get(group));
+        let from = (Bound::Included(Level::least(room)), Bound::Unbounded);
+        let levels = levels
+            .into_iter()
+            .flat_map(move |levels| levels.range(from));
+        let fitting = levels.filter(move |(level, _)| room.fits_in(level.free));
+        fitting.map(move |(level, hosts)| Class {
+            group,
+            level: *level,
+            hosts,
+        })
+    }
+
+    /// Whether a group has a machine on which this room is not free.
+    pub fn any_too_full(&self, group: &Group, room: Room) -> bool {
+        let levels = self.all.get(group);
+        let mut levels = levels.into_iter().flat_map(|levels| levels.keys());
+        levels.any(|level| !room.fits_in(level.free))
+    }
+
+    /// Classes of a group in which this room is not free, those with most free first.
+    pub fn too_full<'a>(
+        &'a self,
+        group: &'a Group,
+        room: Room,
+    ) -> impl Iterator<Item = Class<'a>> + use<'a> {
+        let levels = self.all.get(group).into_iter();
+        let levels = levels.flat_map(|levels| levels.iter().rev());
+        let full = levels.filter(move |(level, _)| !room.fits_in(level.free));
+        full.map(move |(level, hosts)| Class {
+            group,
+            level: *level,
+            hosts,
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/cycle/index/tests.rs
@@ -0,0 +1,103 @@
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::*;
+
+fn room(gpus: f64) -> Room {
+    Room {
+        cpus: gpus * 10.0,
+        gpus,
+        memory_gb: gpus * 60.0,
+    }
+}
+
+fn entry(rng: &mut SmallRng) -> Entry {
+    let zone = Zone::from(["a", "b"][rng.random_range(0..2)]);
+    let images = (0..4).filter(|_| rng.random_bool(0.4));
+    let images = images.map(|i| Image::from(format!("img-{i}"))).collect();
+    Entry {
+        group: Group {
+            own: rng.random_bool(0.5),
+            block: BlockId {
+                zone,
+                part: rng.random_range(0..2),
+            },
+            rig: "g8".into(),
+            spot: rng.random_bool(0.5),
+        },
+        level: Level::new(
+            room(f64::from(rng.random_range(0..9))),
+            Room::default(),
+            rng.random_range(0..2),
+        ),
+        images,
+    }
+}
+
+/// After any changes, a look-up finds just what a walk over all machines finds.
+#[test]
+fn what_is_found_is_what_a_full_walk_finds() {
+    for seed in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut index = FreeRoom::default();
+        let mut all: BTreeMap<HostId, Entry> = BTreeMap::new();
+        for _ in 0..400 {
+            let host = HostId::from(format!("vm-{}", rng.random_range(0..60)));
+            if rng.random_bool(0.3) {
+                index.remove(&host);
+                all.remove(&host);
+            } else {
+                let entry = entry(&mut rng);
+                index.update(&host, entry.clone());
+                all.insert(host, entry);
+            }
+        }
+        assert_eq!(index.len(), all.len());
+        let groups: BTreeSet<&Group> = index.groups().collect();
+        let expected: BTreeSet<&Group> = all.values().map(|entry| &entry.group).collect();
+        assert_eq!(groups, expected);
+        for group in groups {
+            for wanted in [room(0.0), room(1.0), room(5.0), room(8.0)] {
+                let walk = |image: Option<&Image>, fits: bool| -> BTreeSet<&HostId> {
+                    let found = all.iter().filter(|(_, entry)| {
+                        entry.group == *group
+                            && image.is_none_or(|image| entry.images.contains(image))
+                            && wanted.fits_in(entry.level.free()) == fits
+                    });
+                    found.map(|(host, _)| host).collect()
+                };
+                let any: BTreeSet<&HostId> = index
+                    .fitting(Having::Any, group, wanted)
+                    .flat_map(|class| class.hosts)
+                    .collect();
+                assert_eq!(any, walk(None, true));
+                let image = Image::from("img-1");
+                let cached: BTreeSet<&HostId> = index
+                    .fitting(Having::Image(&image), group, wanted)
+                    .flat_map(|class| class.hosts)
+                    .collect();
+                assert_eq!(cached, walk(Some(&image), true));
+                let full: BTreeSet<&HostId> = index
+                    .too_full(group, wanted)
+                    .flat_map(|class| class.hosts)
+                    .collect();
+                assert_eq!(full, walk(None, false));
+                assert_eq!(index.any_too_full(group, wanted), !full.is_empty());
+            }
+        }
+    }
+}
+
+/// Sums of decimal amounts differ in their last bits, and are one class all the same.
+#[test]
+fn rounding_makes_no_classes() {
+    let level = |gpus: f64| Level::new(room(gpus), Room::default(), 0);
+    let cases = [
+        (0.1 + 0.2, 0.3, true),
+        (1.0 - 0.9 - 0.1, 0.0, true),
+        (0.3, 0.301, false),
+    ];
+    for (a, b, same) in cases {
+        assert_eq!(level(a) == level(b), same, "{a} and {b}");
+    }
+}
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -26,6 +26,17 @@
         self.free == self.whole
     }
 
+    /// Takes room for up to `count` tasks and returns how many found it.
+    fn take(&mut self, need: &Need, count: u32) -> u32 {
+        let room = need.spec.room;
+        if !room.fits_in(self.free) || !need.allows(&self.offer) {
+            return 0;
+        }
+        let taken = self.free.holds(room).min(count);
+        self.free = self.free.minus(room.times(f64::from(taken)));
+        taken
+    }
+
     /// Free, or free as soon as urgent work asks for it.
     fn ready(&self) -> bool {
         self.whole.fits_in(self.free.plus(self.soft))
@@ -94,41 +105,94 @@
     best.map(|(_, offer, whole)| (offer, whole))
 }
 
-/// Takes room for up to `count` tasks and returns how many found it: spot machines first where
-/// they will do, and fuller ones first, as `bins` come.
-fn take_from(bins: &mut [Bin], need: &Need, zone: Option<&Zone>, count: u32) -> u32 {
-    let spec = need.spec;
-    let mut left = count;
-    for matching in [true, false] {
-        for bin in bins.iter_mut() {
-            if left == 0 {
-                return count;
-            }
-            if (bin.offer.2 == spec.spot) != matching
-                || !spec.room.fits_in(bin.free)
-                || !need.allows(&bin.offer)
-                || zone.is_some_and(|zone| bin.offer.1 != *zone)
-            {
-                continue;
+/// Machines that are there or on their way, and which of them still have room for any need at all. A full
+/// fleet is not walked for each job that waits.
+struct Bins {
+    all: Vec<Bin>,
+    /// Positions of those that have, in order.
+    open: Vec<usize>,
+    /// Of those, how many have been filled since.
+    filled: usize,
+    /// No need asks for less of anything.
+    least: Room,
+}
+
+impl Bins {
+    fn new(all: Vec<Bin>, needs: &[Need]) -> Self {
+        let rooms = needs.iter().map(|need| need.spec.room);
+        let least = rooms.reduce(|a, b| Room {
+            cpus: a.cpus.min(b.cpus),
+            gpus: a.gpus.min(b.gpus),
+            memory_gb: a.memory_gb.min(b.memory_gb),
+        });
+        let least = least.unwrap_or_default();
+        let open = |index: &usize| least.fits_in(all[*index].free);
+        Self {
+            open: (0..all.len()).filter(open).collect(),
+            filled: 0,
+            all,
+            least,
+        }
+    }
+
+    fn add(&mut self, bin: Bin) {
+        self.open.push(self.all.len());
+        self.all.push(bin);
+    }
+
+    fn open(&self) -> impl Iterator<Item = &Bin> {
+        self.open.iter().map(|index| &self.all[*index])
+    }
+
+    /// Takes room for up to `count` tasks and returns how many found it: spot machines first where
+    /// they will do, and fuller ones first, as they come.
+    fn take(&mut self, need: &Need, zone: Option<&Zone>, count: u32) -> u32 {
+        let mut left = count;
+        for matching in [true, false] {
+            for index in &self.open {
+                if left == 0 {
+                    break;
+                }
+                let bin = &mut self.all[*index];
+                if (bin.offer.2 == need.spec.spot) != matching
+                    || zone.is_some_and(|zone| bin.offer.1 != *zone)
+                {
+                    continue;
+                }
+                let taken = bin.take(need, left);
+                left -= taken;
+                self.filled += usize::from(taken > 0 && !self.least.fits_in(bin.free));
             }
-            let taken = bin.free.holds(spec.room).min(left);
-            bin.free = bin.free.minus(spec.room.times(f64::from(taken)));
-            left -= taken;
+        }
+        self.drop_filled();
+        count - left
+    }
+
+    /// Takes room on the machine that was added last.
+    fn take_last(&mut self, need: &Need, count: u32) -> u32 {
+        self.all.last_mut().map_or(0, |bin| bin.take(need, count))
+    }
+
+    /// Passes over filled machines from now on, once they are many.
+    fn drop_filled(&mut self) {
+        if self.filled * 2 > self.open.len() {
+            let (all, least) = (&self.all, self.least);
+            self.open.retain(|index| least.fits_in(all[*index].free));
+            self.filled = 0;
         }
     }
-    count - left
-}
 
-/// The zone for a gang that must be in one: where most of its tasks find room already.
-fn gang_zone(bins: &[Bin], need: &Need) -> Option<Zone> {
-    let mut room: BTreeMap<&Zone, u32> = BTreeMap::new();
-    for bin in bins.iter().filter(|bin| need.allows(&bin.offer)) {
-        let fits = bin.free.holds(need.spec.room);
-        let there = room.entry(&bin.offer.1).or_default();
-        *there = (*there + fits).min(need.count);
+    /// The zone for a gang that must be in one: where most of its tasks find room already.
+    fn gang_zone(&self, need: &Need) -> Option<Zone> {
+        let mut room: BTreeMap<&Zone, u32> = BTreeMap::new();
+        for bin in self.open().filter(|bin| need.allows(&bin.offer)) {
+            let fits = bin.free.holds(need.spec.room);
+            let there = room.entry(&bin.offer.1).or_default();
+            *there = (*there + fits).min(need.count);
+        }
+        let best = room.into_iter().max_by_key(|(_, tasks)| *tasks)?;
+        (best.1 > 0).then(|| best.0.clone())
     }
-    let best = room.into_iter().max_by_key(|(_, tasks)| *tasks)?;
-    (best.1 > 0).then(|| best.0.clone())
 }
 
 /// `needs` come with the most important first.
@@ -149,33 +213,29 @@
         let fullness = |bin: &Bin| bin.free.share_of(bin.whole);
         fullness(a).total_cmp(&fullness(b))
     });
-    let mut add =
-        |bins: &mut Vec<Bin>, allows: &dyn Fn(&Offer) -> bool, room: Room| -> Option<Zone> {
-            let count_in = |zone: &Zone| in_zone.get(zone).copied().unwrap_or(0);
-            let (offer, whole) = cheapest(allows, room, flavors, &sold_out, count_in)?;
-            let zone = offer.1.clone();
-            *in_zone.entry(zone.clone()).or_default() += 1;
-            *plan.rent.entry(offer.clone()).or_insert(0) += 1;
-            bins.push(Bin {
-                host: None,
-                offer,
-                whole,
-                free: whole,
-                soft: Room::default(),
-                idle_for: Millis(0),
-                worth_s: 0.0,
-            });
-            Some(zone)
-        };
+    let mut bins = Bins::new(bins, needs);
+    let mut add = |bins: &mut Bins, allows: &dyn Fn(&Offer) -> bool, room: Room| -> Option<Zone> {
+        let count_in = |zone: &Zone| in_zone.get(zone).copied().unwrap_or(0);
+        let (offer, whole) = cheapest(allows, room, flavors, &sold_out, count_in)?;
+        let zone = offer.1.clone();
+        *in_zone.entry(zone.clone()).or_default() += 1;
+        *plan.rent.entry(offer.clone()).or_insert(0) += 1;
+        bins.add(Bin {
+            host: None,
+            offer,
+            whole,
+            free: whole,
+            soft: Room::default(),
+            idle_for: Millis(0),
+            worth_s: 0.0,
+        });
+        Some(zone)
+    };
     for need in needs {
         let spec = need.spec;
         let together = spec.shape == Shape::Gang && spec.one_zone && need.count > 1;
-        let mut zone = if together {
-            gang_zone(&bins, need)
-        } else {
-            None
-        };
-        let mut left = need.count - take_from(&mut bins, need, zone.as_ref(), need.count);
+        let mut zone = if together { bins.gang_zone(need) } else { None };
+        let mut left = need.count - bins.take(need, zone.as_ref(), need.count);
         while left > 0 {
             let allows = |o: &Offer| need.allows(o) && zone.as_ref().is_none_or(|z| o.1 == *z);
             let Some(rented) = add(&mut bins, &allows, spec.room) else {
@@ -184,8 +244,7 @@
             if together {
                 zone = Some(rented);
             }
-            let last = bins.len() - 1;
-            let taken = take_from(&mut bins[last..], need, None, left);
+            let taken = bins.take_last(need, left);
             if taken == 0 {
                 break;
             }
@@ -194,8 +253,18 @@
     }
     for wanted in headroom {
         let kind = |bin: &&Bin| bin.offer.2 == wanted.spot && wanted.room.fits_in(bin.whole);
-        let there = bins.iter().filter(kind).filter(|bin| bin.ready()).count() as u32;
-        let empty = bins.iter().filter(kind).filter(|bin| bin.empty()).count() as u32;
+        let there = bins
+            .all
+            .iter()
+            .filter(kind)
+            .filter(|bin| bin.ready())
+            .count() as u32;
+        let empty = bins
+            .all
+            .iter()
+            .filter(kind)
+            .filter(|bin| bin.empty())
+            .count() as u32;
         let missing = wanted.machines.saturating_sub(there);
         for _ in 0..missing.max(wanted.empty.saturating_sub(empty)) {
             if add(&mut bins, &|o: &Offer| o.2 == wanted.spot, wanted.room).is_none() {
@@ -205,6 +274,7 @@
         // Those that give way to urgent work count as headroom first, then those that were in use
         // until a moment ago.
         let soft = bins
+            .all
             .iter()
             .filter(kind)
             .filter(|bin| bin.ready() && !bin.empty())
@@ -212,6 +282,7 @@
         let spare = wanted.machines.saturating_sub(soft as u32);
         let mut spare = spare.max(wanted.empty);
         let mut idle: Vec<&Bin> = bins
+            .all
             .iter()
             .filter(kind)
             .filter(|bin| bin.host.is_some() && bin.empty())
--- a/src/jobs/cache.rs
+++ b/src/jobs/cache.rs
@@ -5,7 +5,7 @@
 use rustc_hash::{FxHashMap as HashMap, FxHashSet as HashSet};
 
 use super::record::{JobRecord, decode_page, parse_page_key};
-use super::{Phase, Placement, Shape, Spec, Task};
+use super::{Phase, Placement, Rank, Shape, Spec, Task};
 use crate::jobs::api::{JobState, Stage};
 use crate::types::{Attempt, BlockId, HostId, JobId, Millis, Revision, Room, Team, Token, Zone};
 
@@ -258,20 +258,35 @@
     pub taken: Room,
     /// By committed tasks that give way to urgent work.
     pub soft: Room,
+    /// By committed tasks of each priority, the lowest first.
+    by_rank: [Room; RANKS],
     tasks: u32,
     /// Committed tasks that do not give way.
     firm: u32,
 }
 
+/// How many priorities there are.
+const RANKS: usize = 4;
+
 impl HostUse {
     /// Whether all of it gives way to urgent work.
     pub fn yielding(&self) -> bool {
         self.firm == 0
     }
 
+    /// Taken by committed tasks of lower priority.
+    pub fn below(&self, rank: Rank) -> Room {
+        let lower = self.by_rank.iter().take(rank as usize);
+        lower.fold(Room::default(), |sum, room| sum.plus(*room))
+    }
+
     fn add(&mut self, spec: &Spec, committed: bool) {
         self.tasks += 1;
         self.taken = self.taken.plus(spec.room);
+        if committed {
+            let of_rank = &mut self.by_rank[spec.rank as usize];
+            *of_rank = of_rank.plus(spec.room);
+        }
         if committed && spec.yields() {
             self.soft = self.soft.plus(spec.room);
         } else if committed {
@@ -283,6 +298,10 @@
     fn remove(&mut self, spec: &Spec, committed: bool) -> bool {
         self.tasks -= 1;
         self.taken = self.taken.minus(spec.room);
+        if committed {
+            let of_rank = &mut self.by_rank[spec.rank as usize];
+            *of_rank = of_rank.minus(spec.room);
+        }
         if committed && spec.yields() {
             self.soft = self.soft.minus(spec.room);
         } else if committed {
@@ -292,17 +311,28 @@
     }
 }
 
-fn occupy(uses: &mut HashMap<HostId, HostUse>, host: &HostId, spec: &Spec, committed: bool) {
-    uses.entry(host.clone()).or_default().add(spec, committed);
+/// What is taken of all hosts, and where that has changed since somebody asked.
+#[derive(Default)]
+struct HostUses {
+    by_host: HashMap<HostId, HostUse>,
+    changed: HashSet<HostId>,
 }
 
-fn vacate(uses: &mut HashMap<HostId, HostUse>, host: &HostId, spec: &Spec, committed: bool) {
-    // An empty host is forgotten, and with it what rounding left of its sums.
-    if uses
-        .get_mut(host)
-        .is_some_and(|taken| !taken.remove(spec, committed))
-    {
-        uses.remove(host);
+impl HostUses {
+    fn occupy(&mut self, host: &HostId, spec: &Spec, committed: bool) {
+        let taken = self.by_host.entry(host.clone()).or_default();
+        taken.add(spec, committed);
+        self.changed.insert(host.clone());
+    }
+
+    fn vacate(&mut self, host: &HostId, spec: &Spec, committed: bool) {
+        // An empty host is forgotten, and with it what rounding left of its sums.
+        if let Some(taken) = self.by_host.get_mut(host)
+            && !taken.remove(spec, committed)
+        {
+            self.by_host.remove(host);
+        }
+        self.changed.insert(host.clone());
     }
 }
 
@@ -368,7 +398,7 @@
     jobs: HashMap<JobId, Job>,
     over: HashMap<JobId, Over>,
     on_host: HashMap<HostId, BTreeSet<(JobId, u32)>>,
-    uses: HashMap<HostId, HostUse>,
+    uses: HostUses,
     /// What the placed tasks of each team, and of each group of teams, use.
     usage: HashMap<Team, Room>,
     /// Of that, what tasks use that are known to have left, though that is not written yet.
@@ -434,12 +464,17 @@
     }
 
     pub fn busy(&self, host: &HostId) -> bool {
-        self.uses.contains_key(host)
+        self.uses.by_host.contains_key(host)
     }
 
     /// What is taken of a host.
     pub fn host_use(&self, host: &HostId) -> HostUse {
-        self.uses.get(host).copied().unwrap_or_default()
+        self.uses.by_host.get(host).copied().unwrap_or_default()
+    }
+
+    /// Hosts of which more or less is taken than when this was asked last.
+    pub fn take_changed_hosts(&mut self) -> HashSet<HostId> {
+        std::mem::take(&mut self.uses.changed)
     }
 
     /// Room taken on a host: by what the records place there and by what is reserved.
@@ -666,7 +701,7 @@
                     if job.left.remove(&entry.1).is_some() {
                         returned = returned.minus(job.spec.room);
                     } else {
-                        vacate(&mut self.uses, &p.host, &job.spec, true);
+                        self.uses.vacate(&p.host, &job.spec, true);
                     }
                     leave(&mut self.in_block, &self.groups, &p.block, &job.spec);
                     if let Some(tasks) = self.on_host.get_mut(&p.host) {
@@ -685,7 +720,7 @@
                 Task::Placed(p) => {
                     job.placed += 1;
                     change = change.plus(job.spec.room);
-                    occupy(&mut self.uses, &p.host, &job.spec, true);
+                    self.uses.occupy(&p.host, &job.spec, true);
                     enter(&mut self.in_block, &self.groups, &p.block, &job.spec);
                     self.on_host
                         .entry(p.host.clone())
@@ -714,13 +749,13 @@
             return;
         };
         if let Change::Place(placement) = &change {
-            occupy(&mut self.uses, &placement.host, &job.spec, false);
+            self.uses.occupy(&placement.host, &job.spec, false);
             let (groups, spec) = (&self.groups, &job.spec);
             enter(&mut self.in_block, groups, &placement.block, spec);
             enter(&mut self.reserved_in, groups, &placement.block, spec);
             count(&mut self.reserved_by, groups, &spec.team, spec.room);
         } else if let Some(host) = job.task(index).placement().map(|p| p.host.clone()) {
-            vacate(&mut self.uses, &host, &job.spec, true);
+            self.uses.vacate(&host, &job.spec, true);
             let (team, room) = (&job.spec.team, job.spec.room);
             left(&mut self.left_by, &self.groups, team, room);
             job.left.insert(index, host);
@@ -737,12 +772,12 @@
             let change = job.changes.remove(index);
             // Still placed by the records.
             if let Some(host) = job.left.remove(index) {
-                occupy(&mut self.uses, &host, &job.spec, true);
+                self.uses.occupy(&host, &job.spec, true);
                 let less = Room::default().minus(job.spec.room);
                 left(&mut self.left_by, &self.groups, &job.spec.team, less);
             }
             if let Some(Change::Place(placement)) = change {
-                vacate(&mut self.uses, &placement.host, &job.spec, false);
+                self.uses.vacate(&placement.host, &job.spec, false);
                 let (groups, spec) = (&self.groups, &job.spec);
                 leave(&mut self.in_block, groups, &placement.block, spec);
                 leave(&mut self.reserved_in, groups, &placement.block, spec);
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -238,12 +238,12 @@
     }
 
     /// An image was used just now. The cache keeps the most recently used ones: those that fell
-    /// out must not draw tasks here.
-    pub fn note_image(&mut self, image: &Image, gb: f64, cache_gb: f64, now: Millis) {
+    /// out must not draw tasks here. Whether that changes which images are there, or on their way.
+    pub fn note_image(&mut self, image: &Image, gb: f64, cache_gb: f64, now: Millis) -> bool {
         let used = Cached { used: now, gb };
-        self.coming.remove(image);
+        let came = self.coming.remove(image).is_some();
         if self.images.insert(image.clone(), used).is_some() {
-            return;
+            return came;
         }
         let size = |images: &HashMap<Image, Cached>| images.values().map(|c| c.gb).sum::<f64>();
         while self.images.len() > 1 && size(&self.images) > cache_gb {
@@ -252,9 +252,10 @@
                 .iter()
                 .min_by_key(|(image, cached)| (cached.used, *image))
                 .map(|(image, _)| image.clone());
-            let Some(oldest) = oldest else { return };
+            let Some(oldest) = oldest else { break };
             self.images.remove(&oldest);
         }
+        true
     }
 
     /// A task that waits for an image was placed here.
