Region: a scale run of real controllers with hollow workers, and slopes of work

Change: 'tiller-region scale' starts up to 99 controller processes and plays workers, users, a cloud and a state service beside them on loopback, open loop, from counts and a seed; it checks files, ports and memory before it starts, strikes controllers and a zone, and ends with a table, CSV and a page of plots. Users' steps are shared with the demo. Rules look at tasks by job, not at all of them for each start. Slopes print what controllers looked at.

--- a/crates/region/src/config.rs
+++ b/crates/region/src/config.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 use ini::Ini;
-use jaspertiller::settings::{SettingsError, TeamSettings, problem, read_file};
+use jaspertiller::settings::{Quota, SettingsError, TeamSettings, problem, read_file};
 use jaspertiller::types::{Millis, Room, Sku, Zone};
 use serde_json::{Value, json};
 
@@ -22,6 +22,10 @@
     /// How old the cloud's list of machines is.
     pub list_lag: Millis,
     pub state: StateLimits,
+    /// Calls a second that the cloud grants.
+    pub cloud_rps: f64,
+    /// What a controller may use.
+    pub quota: Quota,
 }
 
 /// How often workers report, and how long things may take.
@@ -93,6 +97,12 @@
                 value_kb: 8.0,
                 txn_ops: 12,
             },
+            cloud_rps: 5.0,
+            quota: Quota {
+                cores: 0.2,
+                mem_mb: 100.0,
+                sockets: 1000,
+            },
         }
     }
 }
@@ -251,8 +261,9 @@
                     "cancel_s": t.cancel.secs()},
                 "state": {"rps": self.state.rps, "write_rps": self.state.write_rps,
                     "value_kb": self.state.value_kb, "txn_ops": self.state.txn_ops},
-                "cloud": {"rps": 5.0, "list_lag_s": self.list_lag.secs() * 2.0},
-                "quota": {"cores": 0.2, "mem_mb": 100.0, "sockets": 1000},
+                "cloud": {"rps": self.cloud_rps, "list_lag_s": self.list_lag.secs() * 2.0},
+                "quota": {"cores": self.quota.cores, "mem_mb": self.quota.mem_mb,
+                    "sockets": self.quota.sockets},
                 "clock_error_ms": 100.0}
         })
     }
--- a/crates/region/src/lib.rs
+++ b/crates/region/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod machines;
 pub mod meter;
 pub mod rules;
+pub mod scale;
 pub mod sim;
 pub mod slopes;
 pub mod state;
--- a/crates/region/src/live/controllers.rs
+++ b/crates/region/src/live/controllers.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// The process of a controller, if it runs.
+    pub fn pid(&self, index: usize) -> Option<u32> {
+        self.children[index].as_ref().map(Child::id)
+    }
+
     /// Controllers that ended by themselves.
     pub fn ended(&mut self) -> Vec<usize> {
         let ended = |child: &mut Option<Child>| {
--- a/crates/region/src/live/mod.rs
+++ b/crates/region/src/live/mod.rs
@@ -16,7 +16,7 @@
 use jaspertiller::clock::Clock;
 use jaspertiller::http_client::HttpClient;
 use jaspertiller::store::Answer;
-use jaspertiller::types::{HostId, Millis};
+use jaspertiller::types::{HostId, Millis, TaskId, Zone};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::oneshot;
@@ -24,7 +24,7 @@
 
 use crate::cloud::Cloud;
 use crate::config::Config;
-use crate::machines::Machines;
+use crate::machines::{Machines, Outgoing};
 use crate::rules::Rules;
 use crate::state::StateService;
 
@@ -49,6 +49,16 @@
     pub machines: Machines,
     pub rules: Rules,
     pub trouble: Trouble,
+    /// Requests that the state service was asked.
+    pub requests: u64,
+    /// Bodies between workers and controllers, in both directions.
+    pub worker_bytes: u64,
+    /// The longest step since somebody asked.
+    pub longest_step_ms: u64,
+    /// Rules are checked this often on what has started since; zero: in each step.
+    pub check_every: Duration,
+    checked: Millis,
+    unchecked: Vec<(HostId, TaskId)>,
     rng: SmallRng,
     watches: HashMap<u64, oneshot::Sender<Answer>>,
     listeners: HashMap<HostId, JoinHandle<()>>,
@@ -60,6 +70,38 @@
     pub fn now(&self) -> Millis {
         self.clock.now()
     }
+
+    /// Every machine of a zone stops; how many there were.
+    pub fn lose_zone(&mut self, zone: &Zone) -> usize {
+        let now = self.now();
+        let hosts = self.machines.hosts.iter();
+        let inside = hosts.filter(|(_, m)| m.zone == *zone && m.dead.is_none());
+        let inside: Vec<HostId> = inside.map(|(host, _)| host.clone()).collect();
+        for host in &inside {
+            self.machines.kill(host, now);
+        }
+        inside.len()
+    }
+
+    /// Lets time pass for the state service and the machines; the reports to be carried.
+    fn step(&mut self) -> Vec<Outgoing> {
+        let now = self.now();
+        self.store.pass(now, now < self.trouble.state);
+        let (started, reports) = self.machines.step(now);
+        self.unchecked.extend(started);
+        if now.since(self.checked).0 >= self.check_every.as_millis() as u64 {
+            self.checked = now;
+            let started = std::mem::take(&mut self.unchecked);
+            self.rules.check(&started, &self.machines, now);
+        }
+        for (id, answer) in self.store.woken() {
+            if let Some(waiting) = self.watches.remove(&id) {
+                let _ = waiting.send(answer);
+            }
+        }
+        self.longest_step_ms = self.longest_step_ms.max(self.now().since(now).0);
+        reports
+    }
 }
 
 #[derive(Clone)]
@@ -79,6 +121,12 @@
             machines: Machines::new(&config, seed),
             rules: Rules::new(&config),
             trouble,
+            requests: 0,
+            worker_bytes: 0,
+            longest_step_ms: 0,
+            check_every: Duration::ZERO,
+            checked: Millis(0),
+            unchecked: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
             watches: HashMap::new(),
             listeners: HashMap::new(),
@@ -107,19 +155,7 @@
         let mut steps = tokio::time::interval(STEP);
         loop {
             steps.tick().await;
-            let reports = {
-                let region = &mut *self.lock();
-                let now = region.now();
-                region.store.pass(now, now < region.trouble.state);
-                let (started, reports) = region.machines.step(now);
-                region.rules.check(&started, &region.machines, now);
-                for (id, answer) in region.store.woken() {
-                    if let Some(waiting) = region.watches.remove(&id) {
-                        let _ = waiting.send(answer);
-                    }
-                }
-                reports
-            };
+            let reports = self.lock().step();
             workers::keep_listeners(&self);
             for out in reports {
                 tokio::spawn(workers::report(self.clone(), client.clone(), out));
--- a/crates/region/src/live/services.rs
+++ b/crates/region/src/live/services.rs
@@ -108,7 +108,8 @@
 
 async fn state_service(shared: Shared, controller: usize, request: Request) -> Reaction {
     let (cut, away, slow) = {
-        let region = shared.lock();
+        let mut region = shared.lock();
+        region.requests += 1;
         let (now, trouble) = (region.now(), &region.trouble);
         let slow = (now < trouble.slow.0).then_some(trouble.slow.1);
         (now < trouble.cut[controller], now < trouble.state, slow)
--- a/crates/region/src/live/users.rs
+++ b/crates/region/src/live/users.rs
@@ -96,34 +96,51 @@
         self.note(&id, &told);
     }
 
+    /// Uploads the description of a job, which workers fetch; its id and what is to be submitted.
+    pub fn upload(&self, plan: &JobPlan) -> Option<(JobId, Vec<u8>)> {
+        let body = plan.body.to_string().into_bytes();
+        let (id, spec) = api::parse(&body).ok()?;
+        let region = &mut *self.shared.lock();
+        let run = Millis(plan.run_ms);
+        let description = Description {
+            spec,
+            run,
+            broken: false,
+        };
+        region.machines.jobs.insert(id.clone(), description);
+        let now = region.now();
+        region.rules.submit(&id, now);
+        Some((id, body))
+    }
+
+    /// Submits a job once.
+    pub async fn submit(&self, id: &JobId, body: &[u8]) -> Told {
+        let told = self
+            .ask(Method::POST, "/api/jobs", body.to_vec(), SUBMIT)
+            .await;
+        self.note(id, &told);
+        told
+    }
+
+    /// Asks once how a job stands.
+    pub async fn poll(&self, id: &JobId) -> Told {
+        let path = format!("/api/jobs/{id}");
+        let told = self.ask(Method::GET, &path, Vec::new(), POLL).await;
+        self.note(id, &told);
+        told
+    }
+
     /// Lives through one job: submits it when its plan says, cancels it after a while if it is to
     /// be cancelled, and polls until it is over.
     pub async fn follow(self, plan: JobPlan, cancel_after: Option<Duration>) {
         if let Some(at) = plan.at {
             tokio::time::sleep(Duration::from_millis(at)).await;
         }
-        let body = plan.body.to_string().into_bytes();
-        let Ok((id, spec)) = api::parse(&body) else {
+        let Some((id, body)) = self.upload(&plan) else {
             return;
         };
-        {
-            let region = &mut *self.shared.lock();
-            let run = Millis(plan.run_ms);
-            let description = Description {
-                spec,
-                run,
-                broken: false,
-            };
-            region.machines.jobs.insert(id.clone(), description);
-            let now = region.now();
-            region.rules.submit(&id, now);
-        }
         loop {
-            let told = self
-                .ask(Method::POST, "/api/jobs", body.clone(), SUBMIT)
-                .await;
-            self.note(&id, &told);
-            match told {
+            match self.submit(&id, &body).await {
                 Told::State(_) => break,
                 Told::Refused(_) => return,
                 _ => tokio::time::sleep(Duration::from_secs(1)).await,
@@ -137,11 +154,12 @@
                 let now = self.shared.lock().now();
                 self.shared.lock().rules.wants_abort(&id, now);
                 let path = format!("{path}/abort");
-                self.ask(Method::POST, &path, Vec::new(), SUBMIT).await
+                let told = self.ask(Method::POST, &path, Vec::new(), SUBMIT).await;
+                self.note(&id, &told);
+                told
             } else {
-                self.ask(Method::GET, &path, Vec::new(), POLL).await
+                self.poll(&id).await
             };
-            self.note(&id, &told);
             if matches!(told, Told::State(Stage::Done | Stage::Aborted)) {
                 return;
             }
--- a/crates/region/src/live/workers.rs
+++ b/crates/region/src/live/workers.rs
@@ -81,8 +81,11 @@
     };
     let bytes = report_body(&out.report).to_string().into_bytes();
     let client = client.at(address);
-    let call = client.call(Method::POST, "/v1/report", bytes, ANSWER);
-    let answer = match call.await {
+    let sent = bytes.len();
+    let call = client.call(Method::POST, "/v1/report", bytes, ANSWER).await;
+    let received = call.as_ref().map_or(0, |(_, body)| body.len());
+    shared.lock().worker_bytes += (sent + received) as u64;
+    let answer = match call {
         Ok((200, body)) => match serde_json::from_slice::<Orders>(&body) {
             Ok(Orders {
                 baton: Some(baton),
@@ -140,6 +143,7 @@
     }
     let region = &mut *shared.lock();
     let now = region.now();
+    region.worker_bytes += request.body.len() as u64;
     let mut status = 200;
     match (&request.method, request.path.as_str()) {
         (&Method::GET, "/inspect") => {}
--- a/crates/region/src/main.rs
+++ b/crates/region/src/main.rs
@@ -3,6 +3,7 @@
 mod cut_report;
 mod demo;
 mod report;
+mod scale_report;
 mod serve;
 mod slope_report;
 
@@ -77,6 +78,37 @@
         #[arg(long, value_name = "FILE")]
         report: Option<PathBuf>,
     },
+    /// Play a load on real controller processes with hollow workers, on loopback, and measure it
+    #[command(after_help = SCALE_HELP)]
+    Scale {
+        /// This part of the target in docs/CAPACITY.md, instead of the small default
+        #[arg(long, value_parser = part)]
+        target: Option<f64>,
+        /// Counts and rates (INI, section [scale]: the flags' names, and accelerators, zones, teams,
+        /// burst_starts, burst_s, gang, state_requests, state_changes, state_value_kb)
+        #[arg(long, value_name = "FILE")]
+        config: Option<PathBuf>,
+        #[arg(long)]
+        machines: Option<u64>,
+        #[arg(long)]
+        controllers: Option<u64>,
+        /// Tasks that run when nothing bursts
+        #[arg(long)]
+        tasks: Option<u64>,
+        #[arg(long)]
+        seconds: Option<u64>,
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Kills no controller and loses no zone
+        #[arg(long)]
+        no_faults: bool,
+        /// Writes a row a second and controller
+        #[arg(long, value_name = "FILE")]
+        csv: Option<PathBuf>,
+        /// Writes a page of plots (HTML, needs no network)
+        #[arg(long, value_name = "FILE")]
+        report: Option<PathBuf>,
+    },
     /// Play one load at several sizes in virtual time: what controllers send, receive and spend
     Slopes {
         /// Machines of each size
@@ -106,6 +138,21 @@
     },
 }
 
+/// Threads of the stand-ins in a scale run.
+const SCALE_THREADS: usize = 4;
+const SCALE_HELP: &str = "Ends with 2 if files, counts or this machine's limits do not do, with 3 if it stopped \
+    itself, with 1 if a rule broke or a controller ended by itself. All figures are simulated.";
+
+/// A part of the target.
+fn part(text: &str) -> Result<f64, String> {
+    let part: f64 = text.parse().map_err(|_| "must be a number")?;
+    if (0.01..=2.0).contains(&part) {
+        Ok(part)
+    } else {
+        Err("must lie between 0.01 and 2".into())
+    }
+}
+
 /// Exit status for files that can't be used.
 const BAD_SETTINGS: u8 = 2;
 
@@ -120,9 +167,16 @@
         let name = OsString::from("jaspertiller");
         return jaspertiller::cli::run(std::iter::once(name).chain(args));
     }
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
+    let runtime = match command {
+        // Thousands of workers are more than one thread can play.
+        Command::Scale { .. } => tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(SCALE_THREADS)
+            .enable_all()
+            .build(),
+        _ => tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build(),
+    };
     let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(error) => {
@@ -147,6 +201,35 @@
             } => serve::ask(region, kind, target, for_s).await,
             Command::Contention { seeds, report } => report::run(seeds, report.as_deref()),
             Command::Cuts { report } => cut_report::run(report.as_deref()),
+            Command::Scale {
+                target,
+                config,
+                machines,
+                controllers,
+                tasks,
+                seconds,
+                seed,
+                no_faults,
+                csv,
+                report,
+            } => {
+                let flags = vec![
+                    ("machines", machines),
+                    ("controllers", controllers),
+                    ("tasks", tasks),
+                    ("seconds", seconds),
+                    ("seed", seed),
+                ];
+                let asked = scale_report::Asked {
+                    part: target,
+                    config,
+                    flags,
+                    no_faults,
+                    csv,
+                    report,
+                };
+                scale_report::play(asked).await
+            }
             Command::Slopes {
                 machines,
                 controllers,
--- a/crates/region/src/rules.rs
+++ b/crates/region/src/rules.rs
@@ -233,10 +233,16 @@
         if started.is_empty() {
             return;
         }
-        let mut where_is: BTreeMap<&TaskId, Vec<&HostId>> = BTreeMap::new();
+        // Tasks of the jobs that started something, by job.
+        let mut of_job: HashMap<&JobId, Vec<(&HostId, &TaskId)>> = HashMap::new();
+        for (_, task) in started {
+            of_job.entry(&task.job).or_default();
+        }
         let mut used: BTreeMap<&Team, Room> = BTreeMap::new();
         for (host, task) in &present {
-            where_is.entry(task).or_default().push(host);
+            if let Some(tasks) = of_job.get_mut(&task.job) {
+                tasks.push((host, task));
+            }
             if let Some(spec) = spec(&task.job) {
                 let sum = used.entry(&spec.team).or_default();
                 *sum = sum.plus(spec.room);
@@ -245,8 +251,9 @@
         for (host, task) in started {
             let first = self.first_start.entry(task.job.clone());
             first.or_insert(now);
-            let on = where_is.get(task).map_or(&[][..], Vec::as_slice);
-            if let Some(other) = on.iter().find(|other| **other != host) {
+            let its = of_job.get(&task.job).map_or(&[][..], Vec::as_slice);
+            let mut on = its.iter().filter(|(_, other)| *other == task);
+            if let Some((other, _)) = on.find(|(other, _)| *other != host) {
                 let at = now.0;
                 self.broken("ran_twice", format!("{task} on {host} and {other} at {at}"));
             }
@@ -254,7 +261,7 @@
                 self.broken("invented", format!("{task} started"));
                 continue;
             };
-            if let Some(why) = wrong_place(host, task, spec, &present, machines) {
+            if let Some(why) = wrong_place(host, task, spec, its, machines) {
                 self.broken("wrong_place", why);
             }
         }
@@ -286,7 +293,7 @@
     host: &HostId,
     task: &TaskId,
     spec: &Spec,
-    present: &[(&HostId, &TaskId)],
+    of_its_job: &[(&HostId, &TaskId)],
     machines: &Machines,
 ) -> Option<String> {
     let machine = machines.hosts.get(host)?;
@@ -297,7 +304,7 @@
         return Some(format!("{task} in zone {}", machine.zone));
     }
     let mut zones: BTreeMap<_, u32> = BTreeMap::new();
-    for (host, _) in present.iter().filter(|(_, other)| other.job == task.job) {
+    for (host, _) in of_its_job {
         if let Some(machine) = machines.hosts.get(*host) {
             *zones.entry(&machine.zone).or_default() += 1;
         }
--- a/crates/region/src/slope_report.rs
+++ b/crates/region/src/slope_report.rs
@@ -23,6 +23,9 @@
 
 const CSV_HEAD: &str = "simulated,machines,controllers,zones,teams,seed,seconds,role,holds,what,kind,count,bytes,micros";
 
+/// Characters that are shown of what was broken: a record may be in it.
+const MOST_SHOWN: usize = 160;
+
 pub fn run(
     sizes: impl Iterator<Item = Size>,
     seed: u64,
@@ -40,6 +43,7 @@
         }
         write_csv(&mut text, &played, seed)?;
         for what in &played.broken {
+            let what: String = what.chars().take(MOST_SHOWN).collect();
             println!("{} machines, broken: {what}", size.machines);
             broken = true;
         }
@@ -120,6 +124,9 @@
                 "{start},{name},{holds},{way},{kind},{messages},{bytes},"
             )?;
         }
+        for (what, count) in &role.work {
+            writeln!(text, "{start},{name},{holds},looked at,{what},{count},,")?;
+        }
         for (kind, handling) in &role.meter.handling {
             let (events, micros) = (handling.events, handling.time.as_micros());
             writeln!(
--- a/crates/region/src/slopes.rs
+++ b/crates/region/src/slopes.rs
@@ -77,6 +77,8 @@
     /// Machines of its blocks at the end.
     pub machines: usize,
     pub meter: NodeMeter,
+    /// What it looked at: name and count.
+    pub work: Vec<(&'static str, u64)>,
     /// Part of a core that it would take, on this machine.
     pub core: f64,
 }
@@ -185,6 +187,7 @@
         Some(Role {
             leads: node.is_leading(),
             machines: node.machines_held(),
+            work: node.work().rows().to_vec(),
             core: meter.busy().as_secs_f64() / Duration::from_secs(size.seconds).as_secs_f64(),
             meter,
         })
