--- a/crates/region/src/scale/run.rs
+++ b/crates/region/src/scale/run.rs
@@ -85,6 +85,7 @@
     began: Instant,
     /// When each job was meant to be sent, from the beginning, and its class.
     meant: HashMap<JobId, (Duration, String)>,
+    largest_gang: Option<JobId>,
     down: Vec<(Duration, usize)>,
     strikes: Vec<(Duration, Strike)>,
     before: Vec<Option<ProcessSample>>,
@@ -125,6 +126,7 @@
             user,
             began: Instant::now(),
             meant: HashMap::new(),
+            largest_gang: None,
             down: Vec::new(),
             own_before: ProcessSample::default(),
             seconds: Vec::new(),
@@ -159,6 +161,9 @@
             let meant = Duration::from_millis(plan.at.unwrap_or(0));
             let class = plan.body["lot"].as_str().unwrap_or_default().to_string();
             self.meant.insert(plan.id(), (meant, class));
+            if plan.body["picks"] == self.settings.gang && plan.body["shape"] == "gang" {
+                self.largest_gang = Some(plan.id());
+            }
             let (user, times) = (self.user.clone(), self.times.clone());
             users.spawn(follow(user, plan, self.began + meant, times));
         }
@@ -297,23 +302,36 @@
         }
     }
 
-    fn outcome(self) -> Outcome {
-        let mut waits: BTreeMap<String, Histogram<u64>> = BTreeMap::new();
-        let mut jobs: BTreeMap<String, (usize, usize)> = BTreeMap::new();
+    /// Milliseconds from when a job was meant to be sent until its first task ran, if one did.
+    fn waited(&self, id: &JobId) -> Option<u64> {
+        let (meant, _) = self.meant.get(id)?;
         let region = self.shared.lock();
+        let start = region.rules.first_start.get(id)?;
         // The region's clock began before the run's.
         let offset = region.now().0 as i64 - self.began.elapsed().as_millis() as i64;
-        for (id, (meant, class)) in &self.meant {
+        let waited = start.0 as i64 - offset - meant.as_millis() as i64;
+        Some(waited.max(0) as u64)
+    }
+
+    fn outcome(mut self) -> Outcome {
+        let gang = format!("a gang of {} tasks", self.settings.gang);
+        match self.largest_gang.as_ref().and_then(|id| self.waited(id)) {
+            Some(ms) => self.happened(format!(
+                "{gang} began {ms} ms after it was meant to be sent"
+            )),
+            None => self.happened(format!("{gang} did not begin")),
+        }
+        let mut waits: BTreeMap<String, Histogram<u64>> = BTreeMap::new();
+        let mut jobs: BTreeMap<String, (usize, usize)> = BTreeMap::new();
+        for (id, (_, class)) in &self.meant {
             let counts = jobs.entry(class.clone()).or_default();
             counts.0 += 1;
-            let Some(start) = region.rules.first_start.get(id) else {
-                continue;
-            };
-            counts.1 += 1;
-            let waited = start.0 as i64 - offset - meant.as_millis() as i64;
-            let waits = waits.entry(class.clone()).or_insert_with(histogram);
-            record(waits, waited.max(0) as u64);
+            if let Some(ms) = self.waited(id) {
+                counts.1 += 1;
+                record(waits.entry(class.clone()).or_insert_with(histogram), ms);
+            }
         }
+        let region = self.shared.lock();
         let times = self.times.lock().unwrap_or_else(PoisonError::into_inner);
         Outcome {
             submissions: times.submissions.clone(),
--- a/src/controller/pool.rs
+++ b/src/controller/pool.rs
@@ -16,6 +16,8 @@
 
 /// Machines of a class differ in little that a cycle sees, so it looks at so many that would do.
 const MOST_OF_CLASS: usize = 8;
+/// And at no more than so many of which some would not do, such as those that are kept for other jobs.
+const MOST_LOOKED_OF_CLASS: usize = 128;
 /// Machines that would do, of those with the job's image and of all, after which a cycle looks no further.
 const MOST_CONSIDERED: usize = 256;
 /// And of one group of machines at least so many.
@@ -221,7 +223,7 @@
         let mut passed = 0;
         for class in from_both_ends(&classes) {
             let mut of_class = 0;
-            for host in class.hosts {
+            for host in class.hosts.iter().take(MOST_LOOKED_OF_CLASS) {
                 if of_class == MOST_OF_CLASS || passed == most {
                     break;
                 }
--- a/src/controller/pool/tests.rs
+++ b/src/controller/pool/tests.rs
@@ -95,6 +95,17 @@
             most: 16,
             step: choose,
         },
+        Case {
+            name: "work that keeps off empty machines",
+            taken: |_| false,
+            most: 128,
+            step: |controller, id| {
+                let job = controller.jobs.get_mut(id).unwrap();
+                (job.spec.rank, job.born) = (Rank::BestEffort, NOW);
+                controller.pool.spare = false;
+                let _ = controller.choose(id, Scope::All, None, None);
+            },
+        },
         Case {
             name: "a full fleet",
             taken: |_| true,
