--- a/crates/region/src/scale/measure.rs
+++ b/crates/region/src/scale/measure.rs
@@ -71,6 +71,7 @@
     pub sockets: Vec<usize>,
     /// Of this program: the stand-ins.
     pub stand_in_cores: f64,
+    pub stand_in_sockets: usize,
     /// The longest step of the stand-ins in this second: how late they may have been.
     pub longest_step_ms: u64,
     pub leader: Option<usize>,
--- a/crates/region/src/scale/run.rs
+++ b/crates/region/src/scale/run.rs
@@ -293,6 +293,7 @@
         }
         let own = ProcessSample::of(std::process::id()).unwrap_or_default();
         second.stand_in_cores = own.cpu_s - self.own_before.cpu_s;
+        second.stand_in_sockets = own.sockets;
         self.own_before = own;
         memory_mb += own.memory_mb;
         let granted = memory_granted_mb().unwrap_or(u64::MAX);
--- a/crates/region/src/scale_report.rs
+++ b/crates/region/src/scale_report.rs
@@ -161,6 +161,10 @@
             ),
         ),
         ("cores of the stand-ins".into(), all(|s| s.stand_in_cores)),
+        (
+            "sockets of the stand-ins".into(),
+            all(|s| s.stand_in_sockets as f64),
+        ),
         (
             "longest step of the stand-ins, ms".into(),
             all(|s| s.longest_step_ms as f64),
@@ -200,7 +204,7 @@
 }
 
 const CSV_HEAD: &str = "simulated,second,machines,running,starts,changes,requests,worker_bytes,leader,\
-    stand_in_cores,longest_step_ms,controller,core,memory_mb,sockets";
+    stand_in_cores,stand_in_sockets,longest_step_ms,controller,core,memory_mb,sockets";
 
 fn csv(outcome: &Outcome) -> Result<String, std::fmt::Error> {
     let mut text = format!("{CSV_HEAD}\n");
@@ -210,13 +214,14 @@
         let (at, machines, running, starts) = (s.at, s.machines, s.running, s.starts);
         let (changes, requests, bytes) = (s.changes, s.requests, s.worker_bytes);
         let (stand_ins, step) = (s.stand_in_cores, s.longest_step_ms);
+        let stand_in_sockets = s.stand_in_sockets;
         for (index, core) in s.cores.iter().enumerate() {
             let core = core.map_or(String::new(), |core| format!("{core:.2}"));
             let (memory, sockets) = (s.memory_mb[index], s.sockets[index]);
             writeln!(
                 text,
                 "yes,{at},{machines},{running},{starts},{changes},{requests},{bytes},{leader},\
-                 {stand_ins:.2},{step},n{index},{core},{memory:.1},{sockets}"
+                 {stand_ins:.2},{stand_in_sockets},{step},n{index},{core},{memory:.1},{sockets}"
             )?;
         }
     }
