--- a/crates/region/src/scale/limits.rs
+++ b/crates/region/src/scale/limits.rs
@@ -31,10 +31,10 @@
 pub fn check_limits(settings: &ScaleSettings) -> Vec<Limit> {
     let machines = settings.machines;
     vec![
-        // Of each worker a listener; connections for reports are shared among workers, and were fewer.
+        // Of each worker a listener, and connections: 2.7 in all were the most that were seen at 6,900.
         Limit {
             what: "open files",
-            needed: machines * 2 + OTHER_FILES,
+            needed: machines * 5 / 2 + OTHER_FILES,
             granted: open_files().unwrap_or(u64::MAX),
         },
         // A listener and a connection, and what closed connections hold for a while.
