Read once more: a function that nothing calls is gone, classes are not counted to see whether there is one

Cause: choosing from a list of candidates has no caller since the index of free room; a survey counted all fitting classes of a closed group to learn whether there is one. Change: both gone, without a change of behaviour.

--- a/crates/region/src/sim/metering.rs
+++ b/crates/region/src/sim/metering.rs
@@ -54,8 +54,7 @@
         ..
     } = effect
     {
-        let changes = txn.changes.len();
-        for _ in 0..changes {
+        for _ in &txn.changes {
             meter.message(Direction::Sent, "change", 0);
         }
     }
--- a/src/controller/pool.rs
+++ b/src/controller/pool.rs
@@ -301,8 +301,8 @@
                 None => open.push(group),
                 Some(check) => {
                     let having = Having::Any;
-                    let fits = self.pool.room.fitting(having, group, job.spec.room);
-                    if fits.count() > 0 {
+                    let mut fits = self.pool.room.fitting(having, group, job.spec.room);
+                    if fits.next().is_some() {
                         choice.reject(check);
                     }
                 }
--- a/src/cycle.rs
+++ b/src/cycle.rs
@@ -171,17 +171,5 @@
     }
 }
 
-/// The best of these machines, or the checks that rejected all.
-pub fn choose<'a>(
-    asking: &Asking,
-    candidates: impl Iterator<Item = Candidate<'a>>,
-) -> Result<HostId, BTreeSet<Check>> {
-    let mut choice = Choice::default();
-    for candidate in candidates {
-        choice.consider(asking, &candidate);
-    }
-    choice.made()
-}
-
 #[cfg(test)]
 mod tests;
