--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds what the cases start besides the daemon. The stand-ins are Python (3.11 or later, standard library
+# Builds what the cases start besides the daemon. The stand-ins are Python (3.8 or later, standard library
 # only): they are only checked here. The daemon itself is built with the command of the deploy file.
 set -e
 cd "$(dirname "$0")"
--- a/review/common/cluster.py
+++ b/review/common/cluster.py
@@ -7,6 +7,7 @@
 import json
 import os
 import random
+import re
 import shutil
 import signal
 import socket
@@ -15,7 +16,6 @@
 import tempfile
 import threading
 import time
-import tomllib
 from http.server import BaseHTTPRequestHandler
 
 HOST = "127.0.0.1"
@@ -598,8 +598,8 @@
         self.on, self.starts, self.violations = {}, [], []
         self.track = threading.Lock()
         self.direct_hook = None
-        with open(os.path.join(ROOT, "deploy", "service.toml"), "rb") as file:
-            self.command = tomllib.load(file)["run"].split()
+        with open(os.path.join(ROOT, "deploy", "service.toml"), encoding="utf-8") as file:
+            self.command = re.search(r'^run *= *"(.*)"', file.read(), re.MULTILINE).group(1).split()
         if not os.path.exists(os.path.join(ROOT, self.command[0])):
             raise CannotRun(f"{self.command[0]} is not built")
         self.nodes = [Node(self, index, zones[index % len(zones)]) for index in range(nodes)]
