Review: each case names its record.txt itself

Cause: only the shared code named the file, so that nothing in a case's folder showed that it is written.

--- a/review/common/case.py
+++ b/review/common/case.py
@@ -11,9 +11,9 @@
 LIMIT_S = 118
 
 
-def main(folder, play):
-    """`play(record, trouble)` yields the cluster once it is made, then returns the list of broken rules."""
-    record = Record(os.path.join(folder, "record.txt"))
+def main(record_path, play):
+    """`play(record, trouble, made)` hands each cluster to `made`, and returns the list of broken rules."""
+    record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1")
     record(f"TROUBLE={trouble}")
     made = []
