--- a/src/controller/heartbeats/observation.rs
+++ b/src/controller/heartbeats/observation.rs
@@ -7,7 +7,7 @@
 use crate::fleet::MachineTypeSpec;
 use crate::jobs::cache::{Job, TaskChange};
 use crate::queue::ClusterEvent;
-use crate::types::{FencingToken, JobId, MachineId, Millis};
+use crate::types::{FencingToken, JobId, MachineId, Millis, TaskId};
 use crate::workers::reconcile::{Reconciliation, reconcile};
 use crate::workers::wire::{ExitCause, TaskStage, WorkerCommand};
 use crate::workers::{FETCH_TIMEOUT_FACTOR, Machine, TaskObservation};
@@ -44,6 +44,7 @@
             return Vec::new();
         };
         let outcome = self.reconciliation_for(machine, token);
+        log_releases(machine, &outcome.changes);
         self.record_task_results(machine_id, &outcome);
         self.attribute_failures(machine_id, &outcome.failures);
         if !outcome.changes.is_empty() {
@@ -165,6 +166,22 @@
     }
 }
 
+/// Logs each task that the heartbeat proves to be off its machine, with what the heartbeat lists of it.
+fn log_releases(machine: &Machine, changes: &[(JobId, u32, TaskChange)]) {
+    for (job, index, change) in changes {
+        let TaskChange::Release { attempt, .. } = change else {
+            continue;
+        };
+        let task = TaskId {
+            job: job.clone(),
+            index: *index,
+        };
+        let reported = machine.tasks.get(&task);
+        let machine_id = &machine.machine_id;
+        tracing::debug!(%task, attempt = attempt.0, %machine_id, ?reported, "task released by a heartbeat");
+    }
+}
+
 /// Whether the reported state of a task shows that its image is in the machine's cache.
 fn has_image(task: &TaskObservation) -> bool {
     match task.stage {
