--- a/src/controller/autoscaling/lost_machines.rs
+++ b/src/controller/autoscaling/lost_machines.rs
@@ -171,7 +171,8 @@
     /// Whether a machine that must not take new tasks is empty and stays so.
     fn is_unfit_and_drained(&self, machine_id: &MachineId) -> bool {
         self.machines.get(machine_id).is_some_and(|machine| {
-            machine.quarantined || machine.termination_announced && machine.tasks.is_empty()
+            machine.quarantined
+                || machine.termination_announced && !machine.reported.has_live_attempts()
         }) && self.is_drained(machine_id)
     }
 
--- a/src/controller/heartbeats/observation.rs
+++ b/src/controller/heartbeats/observation.rs
@@ -10,7 +10,7 @@
 use crate::types::{FencingToken, JobId, MachineId, Millis, TaskId};
 use crate::workers::reconcile::{Reconciliation, reconcile};
 use crate::workers::wire::{ExitCause, TaskStage, WorkerCommand};
-use crate::workers::{FETCH_TIMEOUT_FACTOR, Machine, TaskObservation};
+use crate::workers::{FETCH_TIMEOUT_FACTOR, Machine, ReportedAttempt};
 
 /// How long a machine gets no new tasks after it refused a start for lack of resources: more is
 /// allocated there than this controller knows, and the next heartbeats show what.
@@ -145,9 +145,12 @@
         let Some(machine) = self.machines.get_mut(machine_id) else {
             return;
         };
-        let fetched = machine.tasks.iter().filter(|(_, task)| has_image(task));
+        let fetched = machine
+            .reported
+            .iter()
+            .filter(|reported| has_image(reported));
         let images: Vec<_> = fetched
-            .filter_map(|(task, _)| self.jobs.get(&task.job))
+            .filter_map(|reported| self.jobs.get(&reported.task.job))
             .map(|job| (&job.spec.image, job.spec.image_gb))
             .collect();
         for (image, gb) in images {
@@ -176,17 +179,17 @@
             job: job.clone(),
             index: *index,
         };
-        let reported = machine.tasks.get(&task);
+        let reported = machine.reported.of_task(&task);
         let machine_id = &machine.machine_id;
         tracing::debug!(%task, attempt = attempt.0, %machine_id, ?reported, "task released by a heartbeat");
     }
 }
 
-/// Whether the reported state of a task shows that its image is in the machine's cache.
-fn has_image(task: &TaskObservation) -> bool {
-    match task.stage {
+/// Whether the reported state of an attempt shows that its image is in the machine's cache.
+fn has_image(reported: &ReportedAttempt) -> bool {
+    match reported.stage {
         TaskStage::Fetching => false,
-        TaskStage::Exited => matches!(task.cause, Some(ExitCause::Done | ExitCause::Stopped)),
+        TaskStage::Exited => matches!(reported.cause, Some(ExitCause::Done | ExitCause::Stopped)),
         TaskStage::Waiting | TaskStage::Running | TaskStage::Saving => true,
     }
 }
--- a/src/controller/reachability/evacuation.rs
+++ b/src/controller/reachability/evacuation.rs
@@ -5,9 +5,9 @@
 use crate::controller::heartbeats::SILENT_MACHINE_TTL;
 use crate::jobs::JobKind;
 use crate::types::{FencingToken, MachineId, Millis, TaskId};
-use crate::workers::Machine;
 use crate::workers::reconcile::Stop;
 use crate::workers::wire::{TaskStage, WorkerCommand};
+use crate::workers::{Machine, ReportedAttempt};
 
 /// A machine's heartbeat is overdue once none has arrived for this many intervals, which takes more
 /// than one lost heartbeat.
@@ -87,9 +87,12 @@
                     job: id.clone(),
                     index: *index,
                 };
-                let spec = &self.jobs.get(id)?.spec;
+                let job = self.jobs.get(id)?;
+                let attempt = job.task(*index).placement()?.attempt;
+                let spec = &job.spec;
                 let stop_takes = Millis::from_secs(spec.save_s) + STOP_ROUND_TRIP;
-                match machine.tasks.get(&task).map(|observed| observed.stage) {
+                let reported = machine.reported.get(&task, attempt);
+                match reported.map(|reported| reported.stage) {
                     None => Some((task, false)),
                     Some(TaskStage::Running)
                         if spec.checkpoint_s > 0.0 && lease_left < stop_takes =>
@@ -131,17 +134,23 @@
         else {
             return;
         };
-        let has_checkpoints = |task: &TaskId| {
-            let job = self.jobs.get(&task.job);
-            job.is_some_and(|job| job.spec.checkpoint_s > 0.0)
+        // An outdated attempt says nothing about the current one, which may be on another machine.
+        let is_current_with_checkpoints = |reported: &&ReportedAttempt| {
+            let job = self.jobs.get(&reported.task.job);
+            job.is_some_and(|job| {
+                let placement = job.task(reported.task.index).placement();
+                let is_current = placement.is_some_and(|placement| {
+                    placement.machine_id == *machine_id && placement.attempt == reported.attempt
+                });
+                is_current && job.spec.checkpoint_s > 0.0
+            })
         };
         let stopped: Vec<TaskId> = machine
-            .tasks
+            .reported
             .iter()
-            .filter(|(task, observed)| {
-                observed.stage == TaskStage::Running && has_checkpoints(task)
-            })
-            .map(|(task, _)| task.clone())
+            .filter(|reported| reported.stage == TaskStage::Running)
+            .filter(is_current_with_checkpoints)
+            .map(|reported| reported.task.clone())
             .collect();
         for task in stopped {
             self.stop_with_gang(&task, true);
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -9,23 +9,13 @@
 use super::failures::FailureStreak;
 use super::image_cache::CachedImage;
 use super::reachability::Reachability;
-use super::wire::{ExitCause, Heartbeat, TaskStage, TaskStatus};
+use super::reported_attempts::ReportedAttempts;
+use super::wire::{Heartbeat, TaskStatus};
 use crate::types::{
-    AgentEpoch, Attempt, ControllerId, FencingToken, Image, JobId, MachineId, MachineTypeId,
-    Millis, ShardId, TaskId, WorkerToken, Zone,
+    AgentEpoch, ControllerId, FencingToken, Image, JobId, MachineId, MachineTypeId, Millis,
+    ShardId, TaskId, WorkerToken, Zone,
 };
 
-/// A task as its machine reported it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct TaskObservation {
-    /// The attempt that the machine runs, or ran.
-    pub attempt: Attempt,
-    /// The attempt's stage of execution.
-    pub stage: TaskStage,
-    /// Why it exited; `None` if it has not, or if the worker gave no cause.
-    pub cause: Option<ExitCause>,
-}
-
 /// This controller's view of a machine, from its worker's heartbeats or from the status of another
 /// controller.
 #[derive(Clone, Debug)]
@@ -60,8 +50,8 @@
     pub reachability: Reachability,
     /// The controller that last received evidence of liveness.
     pub last_contact_by: ControllerId,
-    /// The tasks in the newest heartbeat.
-    pub tasks: BTreeMap<TaskId, TaskObservation>,
+    /// The attempts in the newest heartbeat.
+    pub reported: ReportedAttempts,
     /// The cloud has announced that it will reclaim the machine.
     pub termination_announced: bool,
     /// Jobs whose tasks failed here since the last success.
@@ -108,7 +98,7 @@
             last_heartbeat: Millis(0),
             reachability: Reachability::default(),
             last_contact_by,
-            tasks: BTreeMap::new(),
+            reported: ReportedAttempts::default(),
             termination_announced: false,
             failure_streaks: BTreeMap::new(),
             quarantined: false,
@@ -144,7 +134,7 @@
         self.draining = false;
         self.address = heartbeat.address.parse().ok();
         self.termination_announced = heartbeat.warning_s.is_some();
-        self.tasks = heartbeat.tasks.iter().filter_map(observation).collect();
+        self.reported = ReportedAttempts::from_statuses(&heartbeat.tasks);
     }
 
     /// Records that the worker has seen this controller's token, if its last heartbeat shows that.
@@ -203,13 +193,3 @@
         self.is_schedulable(now, silence) && self.worker_token.fencing_token() >= token
     }
 }
-
-/// A task in a heartbeat, unless its name is malformed.
-fn observation(status: &TaskStatus) -> Option<(TaskId, TaskObservation)> {
-    let observation = TaskObservation {
-        attempt: status.attempt,
-        stage: status.stage,
-        cause: status.cause,
-    };
-    Some((TaskId::parse(&status.task)?, observation))
-}
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -12,12 +12,14 @@
 pub mod machine;
 pub mod reachability;
 pub mod reconcile;
+pub mod reported_attempts;
 pub mod wire;
 
 pub use direct_channel::DirectChannel;
 pub use failures::FailureStreak;
 pub use image_cache::{CachedImage, FETCH_TIMEOUT_FACTOR};
-pub use machine::{Machine, TaskObservation};
+pub use machine::Machine;
+pub use reported_attempts::{ReportedAttempt, ReportedAttempts};
 
 use crate::types::{MachineId, ShardId, Zone};
 
--- a/src/workers/reconcile.rs
+++ b/src/workers/reconcile.rs
@@ -4,7 +4,7 @@
 use rustc_hash::{FxHashMap as HashMap, FxHashSet as HashSet};
 
 use super::wire::{ExitCause, TaskStage, WorkerCommand};
-use super::{Machine, TaskObservation};
+use super::{Machine, ReportedAttempt};
 use crate::jobs::cache::{Evidence, Job, JobCache, TaskChange};
 use crate::jobs::{Phase, Placement, Task};
 use crate::types::{Attempt, FencingToken, JobId, TaskId};
@@ -84,18 +84,18 @@
 }
 
 impl<'a, GangMayBeFetching: Fn(&Job) -> bool> Reconciler<'a, GangMayBeFetching> {
-    /// Compares each task in the heartbeat with its record. Returns the current ones: those placed
-    /// here in the reported attempt and agent epoch.
+    /// Compares each attempt in the heartbeat with the record of its task. Returns the tasks of the
+    /// current ones: those placed here in the reported attempt and agent epoch.
     fn reconcile_reported_tasks(&mut self) -> HashSet<&'a TaskId> {
         let machine = self.machine;
         let mut current = HashSet::default();
-        for (task, observation) in &machine.tasks {
-            match self.current_job(task, observation.attempt) {
+        for reported in machine.reported.iter() {
+            match self.current_job(&reported.task, reported.attempt) {
                 Some(job) => {
-                    current.insert(task);
-                    self.reconcile_current_task(job, task, observation);
+                    current.insert(&reported.task);
+                    self.reconcile_current_attempt(job, reported);
                 }
-                None => self.discard_outdated_task(task, observation),
+                None => self.discard_outdated_attempt(reported),
             }
         }
         current
@@ -111,14 +111,14 @@
         current.then_some(job)
     }
 
-    fn reconcile_current_task(&mut self, job: &Job, task: &TaskId, observation: &TaskObservation) {
-        let attempt = observation.attempt;
-        if observation.stage != TaskStage::Exited {
-            self.stop_if_unwanted(job, task, observation);
+    fn reconcile_current_attempt(&mut self, job: &Job, reported: &ReportedAttempt) {
+        let (task, attempt) = (&reported.task, reported.attempt);
+        if !reported.has_exited() {
+            self.stop_if_unwanted(job, reported);
             return;
         }
         let change_pending = job.pending_changes.contains_key(&task.index);
-        let cause = observation.cause.unwrap_or(ExitCause::Error);
+        let cause = reported.cause.unwrap_or(ExitCause::Error);
         let start = (task.clone(), attempt);
         if cause == ExitCause::GangTimeout
             && self.machine.direct.piggybacked_starts.contains(&start)
@@ -127,7 +127,8 @@
             // commands may have been written before that command arrived, so it is no evidence.
             return;
         }
-        if change_pending {
+        if change_pending || self.machine.reported.has_live_attempt_of(task) {
+            // Another attempt is on the machine; it is killed, and only its exit frees the task.
             return;
         }
         let restart = cause == ExitCause::GangTimeout
@@ -168,13 +169,13 @@
 
     /// Stops a task that has not exited, if it should not run: its job is over or lost a gang member, or
     /// the holder is stopping the task.
-    fn stop_if_unwanted(&mut self, job: &Job, task: &TaskId, observation: &TaskObservation) {
-        let attempt = observation.attempt;
+    fn stop_if_unwanted(&mut self, job: &Job, reported: &ReportedAttempt) {
+        let (task, attempt) = (&reported.task, reported.attempt);
         if !is_wanted(job) {
             self.kill(task, attempt);
         } else if let Some(stop) = self.stops.get(task)
             && stop.attempt == attempt
-            && (observation.stage != TaskStage::Saving || !stop.save)
+            && (reported.stage != TaskStage::Saving || !stop.save)
         {
             let grace_s = if stop.save {
                 job.spec.save_s.ceil() + SAVE_GRACE_MARGIN_S
@@ -187,9 +188,9 @@
 
     /// Handles an attempt that the committed records do not place here: it is forgotten if it has exited,
     /// otherwise it must not run here and is killed.
-    fn discard_outdated_task(&mut self, task: &TaskId, observation: &TaskObservation) {
-        let attempt = observation.attempt;
-        if observation.stage != TaskStage::Exited {
+    fn discard_outdated_attempt(&mut self, reported: &ReportedAttempt) {
+        let (task, attempt) = (&reported.task, reported.attempt);
+        if !reported.has_exited() {
             self.kill(task, attempt);
         } else if !self.machine.direct.may_still_start(task, attempt) {
             // A start that is still in flight would run a forgotten attempt again.
@@ -219,7 +220,7 @@
     fn reconcile_unreported_task(&mut self, job: &Job, task: &TaskId, placement: &Placement) {
         let attempt = placement.attempt;
         if self.epoch_has_ended(placement) {
-            self.push_change(task, self.release(attempt));
+            self.release_if_absent(task, attempt);
             return;
         }
         if placement.agent_epoch != self.machine.agent_epoch {
@@ -234,7 +235,7 @@
             // No start is in flight, so the task is absent. A worker has one heartbeat in flight, so its
             // next heartbeat proves whether a start in the last answer was executed; a start sent
             // directly may still arrive until the worker responds to it.
-            self.push_change(task, self.release(attempt));
+            self.release_if_absent(task, attempt);
         } else if self.machine.direct.is_unacknowledged(task, attempt) {
             self.cancel_late_start(task, attempt);
         }
@@ -273,6 +274,14 @@
         stop.is_some_and(|stop| stop.attempt == attempt)
     }
 
+    /// Releases a task, unless the worker has another attempt of it that has not exited: that attempt is
+    /// killed, and until it exits the task is on the machine.
+    fn release_if_absent(&mut self, task: &TaskId, attempt: Attempt) {
+        if !self.machine.reported.has_live_attempt_of(task) {
+            self.push_change(task, self.release(attempt));
+        }
+    }
+
     fn release(&self, attempt: Attempt) -> TaskChange {
         TaskChange::Release {
             attempt,
--- a/src/workers/reconcile/tests.rs
+++ b/src/workers/reconcile/tests.rs
@@ -3,6 +3,7 @@
 use crate::jobs::record::{JobRecord, encode_page, job_key, page_key};
 use crate::jobs::{JobKind, JobSpec};
 use crate::types::{AgentEpoch, MachineId, Millis, Revision, ShardId, WorkerToken};
+use crate::workers::ReportedAttempts;
 
 /// Guards against a gang that never starts: it was placed on one machine with its image cached and fifteen
 /// without. The first task timed out at the start barrier after 30 s while the others fetched for a minute;
@@ -90,12 +91,12 @@
         let mut machine = Machine::new(machine_id, machine_type, zone, false, shard, "n0".into());
         (machine.agent_epoch, machine.worker_token) =
             (AgentEpoch(1), WorkerToken::connected(FencingToken(4)));
-        let observation = TaskObservation {
+        machine.reported = ReportedAttempts::from_iter([ReportedAttempt {
+            task: task.clone(),
             attempt: last_attempt,
             stage: TaskStage::Exited,
             cause: Some(cause),
-        };
-        machine.tasks.insert(task.clone(), observation);
+        }]);
         if start_in_flight {
             machine
                 .direct
@@ -127,8 +128,13 @@
 
 /// The records of a job whose only task has this placement.
 fn jobs_with_one_placement(id: &JobId, spec: JobSpec, placement: Placement) -> JobCache {
+    jobs_in_phase(id, spec, placement, Phase::Active)
+}
+
+/// The records of a job in this phase whose only task has this placement.
+fn jobs_in_phase(id: &JobId, spec: JobSpec, placement: Placement, phase: Phase) -> JobCache {
     let record = JobRecord {
-        phase: Phase::Active,
+        phase,
         owner: "n0".into(),
         tasks: 1,
         page_size: 8,
@@ -301,3 +307,100 @@
         assert_eq!(outcome.commands.is_empty(), released, "stop of {stopped}");
     }
 }
+
+/// A worker under token 4 that reported these attempts, in this order, with the job's only task placed here
+/// in attempt 2. Attempt 1 was started directly without a response, so the worker still knows it.
+fn after_two_attempts(id: &JobId, phase: Phase, listed: &[&str]) -> (Machine, JobCache) {
+    let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+    spec.tasks = 1;
+    let shard = ShardId::parse("a.0").unwrap();
+    let placement = Placement {
+        machine_id: "vm-1".into(),
+        shard: shard.clone(),
+        agent_epoch: AgentEpoch(1),
+        attempt: Attempt(2),
+    };
+    let jobs = jobs_in_phase(id, spec, placement, phase);
+    let (machine_id, machine_type, zone) = ("vm-1".into(), "g8".into(), "a".into());
+    let mut machine = Machine::new(machine_id, machine_type, zone, false, shard, "n0".into());
+    let heartbeat = format!(
+        r#"{{"host":"vm-1","rig":"g8","yard":"a","loaners":false,"shift":1,"tally":8,"baton":8,
+        "picks":[{}]}}"#,
+        listed.join(",")
+    );
+    let heartbeat = serde_json::from_str(&heartbeat).unwrap();
+    machine.apply_heartbeat(&heartbeat, Millis(1), &"n0".into());
+    let task = TaskId {
+        job: id.clone(),
+        index: 0,
+    };
+    machine
+        .direct
+        .unacknowledged_starts
+        .insert((task, Attempt(1)));
+    (machine, jobs)
+}
+
+/// Guards against `ran_cancelled`: the answer to a direct start was late, so its attempt was not forgotten
+/// when it had exited. The worker listed it after the attempt that ran, which was taken for absent and
+/// released: it ran on after its job was cancelled, and was never killed.
+#[test]
+fn each_listed_attempt_of_a_task_counts_in_any_order() {
+    let id = JobId::from("job-000412");
+    let status =
+        |attempt: u64, state: &str| format!(r#"{{"pick":"job-000412/0","try":{attempt},{state}}}"#);
+    let running = r#""stage":"running""#;
+    let stopped = r#""stage":"ended","cause":"stopped""#;
+    let refused = r#""stage":"ended","cause":"in_use""#;
+    let done = r#""stage":"ended","cause":"done""#;
+    let cases = [
+        // job, states of attempts 1 and 2, attempts that are killed, whether the task leaves its machine
+        (Phase::Active, stopped, running, &[][..], false),
+        (Phase::Aborting, stopped, running, &[2][..], false),
+        (Phase::Aborting, stopped, stopped, &[], true),
+        (Phase::Active, stopped, done, &[], true),
+        (Phase::Active, running, refused, &[1], false),
+        (Phase::Aborting, running, refused, &[1], false),
+        (Phase::Aborting, running, stopped, &[1], false),
+    ];
+    for (phase, first, second, killed, leaves) in cases {
+        let (first, second) = (status(1, first), status(2, second));
+        for listed in [[&*first, &*second], [&*second, &*first]] {
+            let (machine, jobs) = after_two_attempts(&id, phase, &listed);
+            let stops = RequestedStops::default();
+            let outcome = reconcile(&machine, FencingToken(4), &jobs, &stops, |_| false);
+            let expected: Vec<WorkerCommand> = killed
+                .iter()
+                .map(|attempt| WorkerCommand::Stop {
+                    task: TaskId {
+                        job: id.clone(),
+                        index: 0,
+                    },
+                    attempt: Attempt(*attempt),
+                    grace_s: 0.0,
+                })
+                .collect();
+            assert_eq!(outcome.commands, expected, "{phase:?} {listed:?}");
+            assert_eq!(!outcome.changes.is_empty(), leaves, "{phase:?} {listed:?}");
+        }
+    }
+}
+
+/// Guards against a task that runs twice: an attempt that is absent was released although another attempt of
+/// the task was on the machine.
+#[test]
+fn an_absent_attempt_is_not_released_beside_a_live_one() {
+    let id = JobId::from("job-000412");
+    for (state, released) in [
+        (r#""stage":"running""#, false),
+        (r#""stage":"saving""#, false),
+        (r#""stage":"pulling""#, false),
+        (r#""stage":"ended","cause":"stopped""#, true),
+    ] {
+        let status = format!(r#"{{"pick":"job-000412/0","try":1,{state}}}"#);
+        let (machine, jobs) = after_two_attempts(&id, Phase::Aborting, &[&status]);
+        let stops = RequestedStops::default();
+        let outcome = reconcile(&machine, FencingToken(4), &jobs, &stops, |_| false);
+        assert_eq!(!outcome.changes.is_empty(), released, "attempt 1: {state}");
+    }
+}
