Simulated workers know several attempts of a task and list them in any order

Cause: a simulated worker had one attempt of a task at most, so a start replaced an exited attempt that no controller had forgotten, and a start beside a live attempt was dropped. The protocol has the worker list all attempts, including exited and refused ones, in no given order.

Change: a worker keeps its attempts by task and number, refuses a start beside a live attempt as 'in_use', and lists them in one of four orders, which differ by machine. A new fault makes a share of the replies to direct commands late, with the commands executed at once.

--- a/crates/simulator/src/machines/commands.rs
+++ b/crates/simulator/src/machines/commands.rs
@@ -5,7 +5,7 @@
 use jaspertiller::workers::wire::{ExitCause, HeartbeatResponse, TaskStage, WorkerCommand};
 use rand::Rng;
 
-use super::machine::{NEVER, OutgoingHeartbeat, Task};
+use super::machine::{NEVER, OutgoingHeartbeat, Task, TaskAttempt};
 use super::{HEARTBEAT_AFTER_CHANGE, Machines, RETRY_DELAY, last_checkpoint};
 use crate::config::Config;
 
@@ -110,9 +110,10 @@
         let Some(machine) = self.by_id.get_mut(machine_id) else {
             return;
         };
-        let is_exited_attempt = |task: &Task| task.attempt == attempt && task.is_exited();
-        if machine.tasks.get(id).is_some_and(is_exited_attempt) {
-            machine.tasks.remove(id);
+        let task = id.clone();
+        let id = TaskAttempt { task, attempt };
+        if machine.tasks.get(&id).is_some_and(Task::is_exited) {
+            machine.tasks.remove(&id);
         }
     }
 
@@ -120,12 +121,14 @@
         let Some(machine) = self.by_id.get(machine_id) else {
             return;
         };
-        let known = machine.tasks.get(&id);
-        if known.is_some_and(|task| task.attempt == attempt || !task.is_exited()) {
+        let id = TaskAttempt { task: id, attempt };
+        if machine.tasks.contains_key(&id) {
             return;
         }
+        let other_attempt_present = machine
+            .attempts_of(&id.task)
+            .any(|other| !other.is_exited());
         let mut task = Task {
-            attempt,
             stage: TaskStage::Fetching,
             cause: None,
             checkpointed: false,
@@ -133,9 +136,10 @@
             running_since: now,
             stop_requested_at: None,
         };
-        let job = self.jobs.get(&id.job);
-        let spec = job.map(|job| &job.spec).filter(|s| id.index < s.tasks);
-        match spec {
+        let job = self.jobs.get(&id.task.job);
+        let spec = job.map(|job| &job.spec);
+        match spec.filter(|spec| id.task.index < spec.tasks) {
+            Some(_) if other_attempt_present => task.exit(ExitCause::OtherAttemptPresent),
             None => task.exit(ExitCause::UnknownTask),
             Some(spec) => {
                 let allocated = self.allocated_on(machine).plus(spec.resources);
@@ -188,8 +192,12 @@
             return;
         };
         let spec = &job.spec;
-        let task = machine.tasks.get_mut(id);
-        let Some(task) = task.filter(|task| !task.is_exited() && task.attempt == attempt) else {
+        let known = TaskAttempt {
+            task: id.clone(),
+            attempt,
+        };
+        let task = machine.tasks.get_mut(&known);
+        let Some(task) = task.filter(|task| !task.is_exited()) else {
             return;
         };
         machine.next_heartbeat = machine.next_heartbeat.min(now + HEARTBEAT_AFTER_CHANGE);
--- a/crates/simulator/src/machines/gangs.rs
+++ b/crates/simulator/src/machines/gangs.rs
@@ -157,9 +157,10 @@
     let is_gang = |job: &JobDescription| job.spec.kind == JobKind::Gang;
     for (id, task) in &mut machine.tasks {
         let is_member = !task.is_exited() || task.checkpointed;
-        if is_member && jobs.get(&id.job).is_some_and(is_gang) {
-            let members = attempts.entry((id.job.clone(), task.attempt)).or_default();
-            members.push((id.clone(), task));
+        let job = &id.task.job;
+        if is_member && jobs.get(job).is_some_and(is_gang) {
+            let members = attempts.entry((job.clone(), id.attempt)).or_default();
+            members.push((id.task.clone(), task));
         }
     }
 }
--- a/crates/simulator/src/machines/machine.rs
+++ b/crates/simulator/src/machines/machine.rs
@@ -6,17 +6,60 @@
     AgentEpoch, Attempt, Image, MachineId, Millis, TaskId, WorkerToken, Zone,
 };
 use jaspertiller::workers::wire::{ExitCause, Heartbeat, TaskStage, TaskStatus};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
 
 use crate::config::MachineType;
 
 /// End of a stage that does not end by time.
 pub(super) const NEVER: Millis = Millis(u64::MAX);
 
-/// A task on a machine.
-#[derive(Clone, Debug)]
-pub struct Task {
+/// The key of a task that a worker knows: a worker may know several attempts of a task.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TaskAttempt {
+    /// The task.
+    pub task: TaskId,
     /// The attempt that the controller started.
     pub attempt: Attempt,
+}
+
+/// The order in which a worker lists its attempts; the protocol prescribes none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListOrder {
+    /// By task, earlier attempts first.
+    EarliestFirst,
+    /// Attempts on the machine, then those that have exited.
+    LiveFirst,
+    /// Attempts that have exited, then those on the machine.
+    ExitedFirst,
+    /// A new order in each heartbeat.
+    Shuffled,
+}
+
+impl ListOrder {
+    /// All orders.
+    pub const ALL: [Self; 4] = [
+        Self::EarliestFirst,
+        Self::LiveFirst,
+        Self::ExitedFirst,
+        Self::Shuffled,
+    ];
+
+    /// Puts attempts, sorted by task and attempt, into this order.
+    fn apply(self, statuses: &mut [TaskStatus], heartbeat_sequence: u64) {
+        match self {
+            Self::EarliestFirst => {}
+            Self::LiveFirst => statuses.sort_by_key(|status| status.stage == TaskStage::Exited),
+            Self::ExitedFirst => statuses.sort_by_key(|status| status.stage != TaskStage::Exited),
+            Self::Shuffled => statuses.shuffle(&mut SmallRng::seed_from_u64(heartbeat_sequence)),
+        }
+    }
+}
+
+/// An attempt of a task on a machine.
+#[derive(Clone, Debug)]
+pub struct Task {
     /// The current stage, which the worker reports in its heartbeats.
     pub stage: TaskStage,
     pub(super) cause: Option<ExitCause>,
@@ -52,10 +95,10 @@
         self.stage_ends_at = ends_at;
     }
 
-    fn status(&self, id: &TaskId) -> TaskStatus {
+    fn status(&self, id: &TaskAttempt) -> TaskStatus {
         TaskStatus {
-            task: id.to_string(),
-            attempt: self.attempt,
+            task: id.task.to_string(),
+            attempt: id.attempt,
             stage: self.stage,
             cause: self.cause,
             checkpoint_saved: self.checkpointed.then_some(true),
@@ -86,8 +129,10 @@
     pub(super) next_heartbeat: Millis,
     /// The heartbeat that awaits its response: when it was sent, and its sequence number.
     pub(super) in_flight: Option<(Millis, u64)>,
-    /// Tasks of the worker, including exited tasks until a controller commands the worker to forget them.
-    pub tasks: BTreeMap<TaskId, Task>,
+    /// All attempts that the worker knows, including exited ones until a controller commands it to forget them.
+    pub tasks: BTreeMap<TaskAttempt, Task>,
+    /// The order in which the worker lists them.
+    pub list_order: ListOrder,
     /// When each image was, or will be, completely fetched.
     pub(super) image_ready_at: HashMap<Image, Millis>,
     /// When the machine stopped permanently; `None` while it runs.
@@ -120,6 +165,7 @@
         rented_at: Millis,
         up_at: Millis,
         controller: usize,
+        list_order: ListOrder,
     ) -> Self {
         Self {
             zone,
@@ -134,6 +180,7 @@
             next_heartbeat: up_at,
             in_flight: None,
             tasks: BTreeMap::new(),
+            list_order,
             image_ready_at: HashMap::new(),
             stopped_at: None,
             faulty: false,
@@ -148,6 +195,21 @@
         }
     }
 
+    /// Whether an attempt of a task is on the machine.
+    pub(super) fn has_on_machine(&self, task: &TaskId) -> bool {
+        self.attempts_of(task).any(Task::on_machine)
+    }
+
+    /// The attempts of a task that the worker knows.
+    pub(super) fn attempts_of(&self, task: &TaskId) -> impl Iterator<Item = &Task> {
+        let attempt = |attempt| TaskAttempt {
+            task: task.clone(),
+            attempt: Attempt(attempt),
+        };
+        let of_task = self.tasks.range(attempt(0)..=attempt(u64::MAX));
+        of_task.map(|(_, task)| task)
+    }
+
     /// Whether the machine has not stopped permanently; true for a machine that still boots.
     pub(super) fn is_running(&self) -> bool {
         self.stopped_at.is_none()
@@ -189,6 +251,8 @@
         machine_type: &MachineType,
     ) -> Heartbeat {
         let tasks = self.tasks.iter().map(|(id, task)| task.status(id));
+        let mut tasks: Vec<TaskStatus> = tasks.collect();
+        self.list_order.apply(&mut tasks, self.heartbeat_sequence);
         Heartbeat {
             machine_id: machine_id.clone(),
             address: self.address.clone(),
@@ -199,7 +263,7 @@
             heartbeat_sequence: self.heartbeat_sequence,
             worker_token: self.worker_token,
             warning_s: None,
-            tasks: tasks.collect(),
+            tasks,
         }
     }
 }
--- a/crates/simulator/src/machines/mod.rs
+++ b/crates/simulator/src/machines/mod.rs
@@ -21,7 +21,7 @@
 
 use crate::config::{Config, MachineType, Timing};
 
-pub use machine::{Machine, OutgoingHeartbeat, Task};
+pub use machine::{ListOrder, Machine, OutgoingHeartbeat, Task, TaskAttempt};
 
 use gangs::GangRun;
 
@@ -100,7 +100,8 @@
         }
     }
 
-    /// Adds a machine rented at `rented_at` that is up from `up_at` on; its first controller is drawn at random.
+    /// Adds a machine rented at `rented_at` that is up from `up_at` on; its first controller is drawn at random, and
+    /// its worker lists attempts in the next of all orders.
     pub fn add(
         &mut self,
         machine_id: &MachineId,
@@ -110,7 +111,8 @@
         up_at: Millis,
     ) {
         let controller = self.rng.random_range(0..self.controllers);
-        let machine = Machine::new(zone, spot, rented_at, up_at, controller);
+        let list_order = ListOrder::ALL[self.by_id.len() % ListOrder::ALL.len()];
+        let machine = Machine::new(zone, spot, rented_at, up_at, controller, list_order);
         self.by_id.insert(machine_id.clone(), machine);
     }
 
@@ -160,7 +162,7 @@
         machine.is_lease_expired(self.timing.lease, now) && !self.ignore_lease_expiry
     }
 
-    /// Returns every task, in any stage, on the running machines that hold their lease.
+    /// Returns every attempt of every task, in any stage, on the running machines that hold their lease.
     fn tasks(&self, now: Millis) -> impl Iterator<Item = (&MachineId, &TaskId, &Task)> {
         let holds_lease =
             move |machine: &Machine| machine.is_running() && !self.has_lost_lease(machine, now);
@@ -168,7 +170,7 @@
         let machines = machines.filter(move |(_, machine)| holds_lease(machine));
         machines.flat_map(|(machine_id, machine)| {
             let tasks = machine.tasks.iter();
-            tasks.map(move |(id, task)| (machine_id, id, task))
+            tasks.map(move |(id, task)| (machine_id, &id.task, task))
         })
     }
 
@@ -178,12 +180,23 @@
         tasks.map(|(machine_id, id, _)| (machine_id, id))
     }
 
+    /// Returns every task that is on a running machine while the worker there also knows another attempt of it.
+    pub fn tasks_with_several_attempts(&self, now: Millis) -> impl Iterator<Item = &TaskId> {
+        let tasks = self.tasks_started(now);
+        let several = |machine_id: &MachineId, task: &TaskId| {
+            let machine = self.by_id.get(machine_id);
+            machine.is_some_and(|machine| machine.attempts_of(task).count() > 1)
+        };
+        tasks
+            .filter(move |(machine_id, task)| several(machine_id, task))
+            .map(|(_, task)| task)
+    }
+
     /// Whether a task has started on this machine and not exited. Ignores whether the lease has expired.
     pub fn is_on(&self, machine_id: &MachineId, task: &TaskId) -> bool {
         let machine = self.by_id.get(machine_id);
         let machine = machine.filter(|machine| machine.is_running());
-        let task = machine.and_then(|machine| machine.tasks.get(task));
-        task.is_some_and(Task::on_machine)
+        machine.is_some_and(|machine| machine.has_on_machine(task))
     }
 
     /// Returns every task that resources are allocated to, including tasks that are fetching their image.
@@ -257,7 +270,7 @@
     /// Returns the resources that are allocated to tasks which have not exited.
     fn allocated_on(&self, machine: &Machine) -> Resources {
         let tasks = machine.tasks.iter().filter(|(_, task)| !task.is_exited());
-        let amounts = tasks.filter_map(|(id, _)| Some(self.jobs.get(&id.job)?.spec.resources));
+        let amounts = tasks.filter_map(|(id, _)| Some(self.jobs.get(&id.task.job)?.spec.resources));
         amounts.fold(Resources::default(), Resources::plus)
     }
 }
--- a/crates/simulator/src/machines/step.rs
+++ b/crates/simulator/src/machines/step.rs
@@ -34,6 +34,7 @@
             if task.is_exited() || self.now < task.stage_ends_at {
                 continue;
             }
+            let id = &id.task;
             let Some(job) = self.jobs.get(&id.job) else {
                 task.exit(ExitCause::UnknownTask);
                 continue;
--- a/crates/simulator/src/sim/effects.rs
+++ b/crates/simulator/src/sim/effects.rs
@@ -136,8 +136,12 @@
         let fault = self.network.held_commands.clone();
         let fault = fault.filter(|fault| self.rng.random_bool(fault.share));
         let extra_delay_ms = fault.map_or(0, |fault| self.rng.random_range(fault.delay_ms));
-        // The worker still executes commands whose sender has timed out.
-        if extra_delay_ms >= DIRECT_TIMEOUT {
+        // Drawn only if the fault is injected, so that other runs keep their draws.
+        let late_reply_share = self.network.late_reply_share;
+        let is_reply_late = late_reply_share > 0.0 && self.rng.random_bool(late_reply_share);
+        self.fault_counts.late_replies += u64::from(is_reply_late);
+        // The worker still executes commands whose sender times out.
+        if is_reply_late || extra_delay_ms >= DIRECT_TIMEOUT {
             direct.reply = Reply::Abandoned;
             self.time_out_direct_commands(controller, direct.machine_id.clone());
         }
--- a/crates/simulator/src/sim/faults.rs
+++ b/crates/simulator/src/sim/faults.rs
@@ -92,6 +92,9 @@
     pub slow_links: Option<Range<u64>>,
     /// Delay of direct commands. Responses to commands are delayed with the same share, by a delay of their own.
     pub held_commands: Option<RandomDelay>,
+    /// Share of direct commands that are executed at once and whose reply comes after the sender has timed out, from 0
+    /// to 1.
+    pub late_reply_share: f64,
     /// Duplication of heartbeats.
     pub heartbeat_copies: Option<HeartbeatCopies>,
     /// Duplication of messages between controllers, with the delay of the duplicate.
@@ -129,6 +132,8 @@
     pub late_writes_rejected: u64,
     /// Direct commands that were executed after their sender had timed out.
     pub late_commands_executed: u64,
+    /// Replies to direct commands that came after their sender had timed out.
+    pub late_replies: u64,
     /// Duplicate heartbeats with an earlier agent epoch than the current one of their machine.
     pub copies_of_old_agent_epochs: u64,
     /// Duplicates of messages between controllers.
--- a/crates/simulator/tests/faults/combined_faults/machines.rs
+++ b/crates/simulator/tests/faults/combined_faults/machines.rs
@@ -47,8 +47,8 @@
     let attempts_on = |world: &World| -> HashSet<(MachineId, TaskId, u64)> {
         let tasks = machine_ids.iter().flat_map(|machine_id| {
             let machine = &world.machines.by_id[machine_id];
-            let tasks = machine.tasks.iter();
-            tasks.map(|(task, known)| (machine_id.clone(), task.clone(), known.attempt.0))
+            let known = machine.tasks.keys();
+            known.map(|known| (machine_id.clone(), known.task.clone(), known.attempt.0))
         });
         tasks.collect()
     };
@@ -263,7 +263,7 @@
                 let machine_ids = busy_machines(w);
                 let runs_restricted_job = |w: &World, machine_id: &MachineId| {
                     let mut tasks = w.machines.by_id[machine_id].tasks.keys();
-                    tasks.any(|task| task.job.as_str() >= "job-000100")
+                    tasks.any(|known| known.task.job.as_str() >= "job-000100")
                 };
                 let machine_ids: Vec<MachineId> = machine_ids
                     .into_iter()
--- a/crates/simulator/tests/faults/combined_faults/mod.rs
+++ b/crates/simulator/tests/faults/combined_faults/mod.rs
@@ -1,6 +1,7 @@
 //! Combinations of faults. Each scenario injects its faults and counts evidence that they coincided.
 //! docs/combined-faults.md describes the hazard of each scenario and the mechanism that prevents it.
 
+mod attempts;
 mod holders;
 mod machines;
 mod pairs;
--- a/crates/simulator/tests/faults/main.rs
+++ b/crates/simulator/tests/faults/main.rs
@@ -224,6 +224,7 @@
     world.run_until(FAULTS_END.max(world.now));
     world.network.heartbeat_copies = None;
     world.network.held_commands = None;
+    world.network.late_reply_share = 0.0;
     (
         world.store_faults.lost_response_share,
         world.store_faults.late_write_share,
