--- a/src/http_server/responses.rs
+++ b/src/http_server/responses.rs
@@ -2,9 +2,10 @@
 
 use serde::Serialize;
 use warp::Reply;
-use warp::http::StatusCode;
+use warp::http::{HeaderValue, StatusCode, header};
 use warp::reply::Response as HttpResponse;
 
+use super::body::BodyError;
 use crate::jobs::api::{self, Response};
 use crate::types::{ControllerId, JobId, WorkerToken};
 use crate::workers::wire::{HeartbeatResponse, WorkerCommand};
@@ -56,6 +57,19 @@
     retry_after(RETRY_AFTER_S)
 }
 
+/// Creates the response to a request whose body could not be read. It closes the connection, since the rest of the
+/// body could be mistaken for another request.
+pub(super) fn to_unreadable_body(reason: BodyError) -> HttpResponse {
+    let mut response = if reason.is_permanent() {
+        error(StatusCode::BAD_REQUEST, &reason.to_string())
+    } else {
+        unavailable()
+    };
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+    response
+}
+
 fn retry_after(seconds: u32) -> HttpResponse {
     let reply = error(StatusCode::SERVICE_UNAVAILABLE, "not now: try again later");
     warp::reply::with_header(reply, "Retry-After", seconds.to_string()).into_response()
