Match the replies of direct commands with their exchange

Change: an exchange has an id, unique in its process. An outcome ends only its own exchange; the heartbeat in a late reply is still applied if it is newer.

a_reply_ends_only_its_own_exchange shows it at the mechanism; the code before had no way to tell the two apart.

--- a/crates/simulator/src/sim/effects.rs
+++ b/crates/simulator/src/sim/effects.rs
@@ -39,6 +39,7 @@
             Effect::Peer { to, message } => self.send_to_peer(controller, &to, &message, delay),
             Effect::DirectCommands {
                 machine_id,
+                exchange,
                 worker_token,
                 agent_epoch,
                 commands,
@@ -47,6 +48,7 @@
                 let direct = DirectCommands {
                     sender: self.process(controller),
                     machine_id,
+                    exchange,
                     worker_token,
                     agent_epoch,
                     commands,
@@ -126,12 +128,12 @@
     fn send_direct_commands(&mut self, mut direct: DirectCommands, delay: u64) {
         let controller = direct.sender.controller;
         if let Some(cut) = self.worker_cut(controller, &direct.machine_id) {
-            let machine_id = direct.machine_id.clone();
+            self.time_out_direct_commands(&direct);
             if cut.hold {
                 direct.reply = Reply::Abandoned;
                 self.post(cut.until + 1, ScheduledMessage::DirectCommands(direct));
             }
-            return self.time_out_direct_commands(controller, machine_id);
+            return;
         }
         let fault = self.network.held_commands.clone();
         let fault = fault.filter(|fault| self.rng.random_bool(fault.share));
@@ -143,16 +145,15 @@
         // The worker still executes commands whose sender times out.
         if is_reply_late || extra_delay_ms >= DIRECT_TIMEOUT {
             direct.reply = Reply::Abandoned;
-            self.time_out_direct_commands(controller, direct.machine_id.clone());
+            self.time_out_direct_commands(&direct);
         }
         let at = self.now + delay + extra_delay_ms;
         self.post(at, ScheduledMessage::DirectCommands(direct));
     }
 
-    fn time_out_direct_commands(&mut self, controller: usize, machine_id: MachineId) {
-        let answer = None;
-        let event = Event::DirectReply { machine_id, answer };
-        self.send_to(controller, self.now + DIRECT_TIMEOUT, event);
+    fn time_out_direct_commands(&mut self, direct: &DirectCommands) {
+        let controller = direct.sender.controller;
+        self.send_to(controller, self.now + DIRECT_TIMEOUT, direct.outcome(None));
     }
 
     fn inspect(&mut self, controller: usize, machine_id: &MachineId) {
--- a/crates/simulator/src/sim/message.rs
+++ b/crates/simulator/src/sim/message.rs
@@ -1,9 +1,10 @@
 //! Scheduled messages: everything that is due in the simulated cluster at a given virtual time.
 
+use jaspertiller::controller::CommandReply;
 use jaspertiller::controller::Event;
 use jaspertiller::store::lanes::QueuedCall;
 use jaspertiller::store::{StoreCall, Transaction};
-use jaspertiller::types::{AgentEpoch, JobId, MachineId, WorkerToken};
+use jaspertiller::types::{AgentEpoch, ExchangeId, JobId, MachineId, WorkerToken};
 use jaspertiller::workers::wire::{HeartbeatResponse, WorkerCommand};
 
 use crate::machines::OutgoingHeartbeat;
@@ -43,6 +44,8 @@
     pub sender: ProcessId,
     /// The target machine.
     pub machine_id: MachineId,
+    /// The exchange that the response ends.
+    pub exchange: ExchangeId,
     /// The token under which they are valid.
     pub worker_token: WorkerToken,
     /// The agent epoch that they are meant for.
@@ -55,6 +58,17 @@
     pub reply: Reply,
 }
 
+impl DirectCommands {
+    /// The event that ends the exchange at the controller; `answer` is none if the worker did not respond in time.
+    pub(super) fn outcome(&self, answer: Option<CommandReply>) -> Event {
+        Event::DirectReply {
+            machine_id: self.machine_id.clone(),
+            exchange: self.exchange,
+            answer,
+        }
+    }
+}
+
 /// What happens at a scheduled time.
 pub(super) enum ScheduledMessage {
     /// Machines, leases and watches advance to the current time.
--- a/crates/simulator/src/sim/workers.rs
+++ b/crates/simulator/src/sim/workers.rs
@@ -103,8 +103,7 @@
         // A machine that rebooted after the commands were sent has lost their connection.
         if machine.is_some_and(|machine| machine.rebooted_at.0 > direct.sent_at) {
             if direct.reply.is_expected() {
-                let (machine_id, answer) = (direct.machine_id, None);
-                let event = Event::DirectReply { machine_id, answer };
+                let event = direct.outcome(None);
                 self.send_to(direct.sender.controller, self.now + 1, event);
             }
             return;
@@ -118,42 +117,37 @@
         if is_reachable {
             self.execute_direct_commands(direct);
         } else if direct.reply.is_expected() {
-            let (machine_id, answer) = (direct.machine_id, None);
             let message = ScheduledMessage::ControllerEvent {
                 process: direct.sender,
-                event: Box::new(Event::DirectReply { machine_id, answer }),
+                event: Box::new(direct.outcome(None)),
             };
             self.post(self.now + DIRECT_TIMEOUT, message);
         }
     }
 
-    fn execute_direct_commands(&mut self, direct: DirectCommands) {
-        let DirectCommands {
-            sender: process,
-            machine_id,
-            worker_token,
-            agent_epoch,
-            commands,
-            reply,
-            ..
-        } = direct;
+    fn execute_direct_commands(&mut self, mut direct: DirectCommands) {
         let now = Millis(self.now);
+        let commands = std::mem::take(&mut direct.commands);
         let has_commands = !commands.is_empty();
-        let is_executed =
-            self.machines
-                .execute_direct(&machine_id, worker_token, agent_epoch, commands, now);
-        let is_late = is_executed && has_commands && !reply.is_expected();
+        let is_executed = self.machines.execute_direct(
+            &direct.machine_id,
+            direct.worker_token,
+            direct.agent_epoch,
+            commands,
+            now,
+        );
+        let is_late = is_executed && has_commands && !direct.reply.is_expected();
         self.fault_counts.late_commands_executed += u64::from(is_late);
-        if !reply.is_expected() {
+        if !direct.reply.is_expected() {
             return;
         }
-        let heartbeat = self.machines.heartbeat(&machine_id);
+        let heartbeat = self.machines.heartbeat(&direct.machine_id);
         let answer = Some(CommandReply { heartbeat });
         // A delayed response may arrive after newer heartbeats.
         let fault = self.network.held_commands.clone();
         let fault = fault.filter(|fault| self.rng.random_bool(fault.share));
         let delay_ms = fault.map_or(0, |_| self.rng.random_range(0..MAX_RESPONSE_DELAY));
-        let event = Box::new(Event::DirectReply { machine_id, answer });
+        let (process, event) = (direct.sender, Box::new(direct.outcome(answer)));
         let at = self.now + WORKER_MESSAGE_DELAY + delay_ms;
         self.post(at, ScheduledMessage::ControllerEvent { process, event });
     }
--- a/src/controller/event.rs
+++ b/src/controller/event.rs
@@ -11,7 +11,7 @@
 use crate::jobs::api::{RejectedSubmission, Response};
 use crate::peers::Message;
 use crate::store::{CallClass, StoreCall, StoreResponse};
-use crate::types::{AgentEpoch, ControllerId, JobId, MachineId, ReplyId, WorkerToken};
+use crate::types::{AgentEpoch, ControllerId, ExchangeId, JobId, MachineId, ReplyId, WorkerToken};
 use crate::workers::wire::{Heartbeat, HeartbeatResponse, WorkerCommand};
 
 /// A worker's answer to commands that were sent to it directly.
@@ -87,6 +87,8 @@
     DirectReply {
         /// The machine that the commands were sent to.
         machine_id: MachineId,
+        /// The exchange that has ended.
+        exchange: ExchangeId,
         /// The worker's answer; `None` if there was no answer.
         answer: Option<CommandReply>,
     },
@@ -107,6 +109,8 @@
     DirectCommands {
         /// The worker's machine.
         machine_id: MachineId,
+        /// The exchange, which its outcome has to carry.
+        exchange: ExchangeId,
         /// The worker's address.
         address: SocketAddr,
         /// The token under which the commands are sent.
--- a/src/controller/heartbeats/direct_commands.rs
+++ b/src/controller/heartbeats/direct_commands.rs
@@ -6,7 +6,7 @@
 
 use crate::controller::{CommandReply, Controller, Effect};
 use crate::queue::ClusterEvent;
-use crate::types::{Attempt, FencingToken, MachineId, TaskId};
+use crate::types::{Attempt, ExchangeId, FencingToken, MachineId, TaskId};
 use crate::workers::Machine;
 use crate::workers::wire::{Heartbeat, WorkerCommand};
 
@@ -29,16 +29,18 @@
         let Some(machine) = self.machines.get_mut(machine_id) else {
             return;
         };
-        if commands.is_empty() || machine.direct.in_flight {
+        if commands.is_empty() || machine.direct.is_in_flight() {
             machine.direct.resend |= !commands.is_empty();
             return;
         }
         let agent_epoch = machine.agent_epoch;
         machine.direct.set_validity(token, agent_epoch);
-        machine.direct.begin(&commands);
+        let exchange = self.contact.next_exchange();
+        machine.direct.begin(exchange, &commands);
         let (machine_id, worker_token) = (machine_id.clone(), self.worker_token(token));
         self.effects.push(Effect::DirectCommands {
             machine_id,
+            exchange,
             address,
             worker_token,
             agent_epoch,
@@ -67,19 +69,22 @@
     pub(in crate::controller) fn on_direct_reply(
         &mut self,
         machine_id: &MachineId,
+        exchange: ExchangeId,
         answer: Option<CommandReply>,
     ) {
         let Some(machine) = self.machines.get_mut(machine_id) else {
             return;
         };
-        let exchange = machine.direct.end();
+        let ended = machine.direct.end(exchange);
         let Some(answer) = answer else { return };
-        machine.direct.acknowledge(&exchange.starts);
+        if let Some(ended) = &ended {
+            machine.direct.acknowledge(&ended.starts);
+        }
         let shard = machine.shard.clone();
         if let (Some(heartbeat), Some(token)) = (answer.heartbeat, self.token_for(&shard)) {
             self.apply_direct_heartbeat(machine_id, token, &heartbeat);
         }
-        if exchange.resend {
+        if ended.is_some_and(|ended| ended.resend) {
             self.push_commands(machine_id);
         }
     }
--- a/src/controller/heartbeats/tests.rs
+++ b/src/controller/heartbeats/tests.rs
@@ -6,7 +6,9 @@
 use crate::controller::peer_messages::PeerStatus;
 use crate::jobs::api::{parse, tests::body};
 use crate::jobs::{JobKind, Placement, Task};
-use crate::types::{AgentEpoch, Attempt, FencingToken, MachineId, Revision, ShardId, WorkerToken};
+use crate::types::{
+    AgentEpoch, Attempt, ExchangeId, FencingToken, MachineId, Revision, ShardId, WorkerToken,
+};
 use crate::workers::Machine;
 
 /// A machine restarted at once and reported its new agent epoch in a reply to direct commands. Its last answered
@@ -33,7 +35,7 @@
         "picks": [{"pick": format!("{id}/0"), "try": 1, "stage": "running"}]});
     controller.now = lease;
     let heartbeat = Some(serde_json::from_value(heartbeat).unwrap());
-    controller.on_direct_reply(&machine_id, Some(CommandReply { heartbeat }));
+    controller.on_direct_reply(&machine_id, ExchangeId(0), Some(CommandReply { heartbeat }));
     let released = |c: &Controller| !c.jobs.get(&id).unwrap().pending_changes.is_empty();
     for (after_s, expired) in [(5.0, false), (40.0, true)] {
         controller.now = lease + Millis::from_secs(after_s);
@@ -97,7 +99,7 @@
         let reply = CommandReply {
             heartbeat: Some(heartbeat(2, FencingToken(5))),
         };
-        controller.on_direct_reply(&machine_id, Some(reply));
+        controller.on_direct_reply(&machine_id, ExchangeId(0), Some(reply));
         if let Some(after) = after {
             controller.now = Millis(after * 1_000);
             controller.answer_heartbeat(heartbeat(3, FencingToken(5)));
@@ -135,12 +137,12 @@
             "after heartbeat {heartbeat_sequence}"
         );
     }
-    let probed = |c: &Controller| c.machines[&machine_id].direct.in_flight;
+    let probed = |c: &Controller| c.machines[&machine_id].direct.is_in_flight();
     assert!(probed(&controller), "the machine is probed");
     let reply = CommandReply {
         heartbeat: Some(heartbeat(6)),
     };
-    controller.on_direct_reply(&machine_id, Some(reply));
+    controller.on_direct_reply(&machine_id, ExchangeId(0), Some(reply));
     assert!(takes_tasks(&controller), "the machine replied");
 }
 
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -136,7 +136,11 @@
             Event::Poll { reply, job } => self.on_poll(reply, job),
             Event::Cancel { reply, job } => self.on_cancel(reply, job),
             Event::Inspected { answered } => self.on_inspected(answered),
-            Event::DirectReply { machine_id, answer } => self.on_direct_reply(&machine_id, answer),
+            Event::DirectReply {
+                machine_id,
+                exchange,
+                answer,
+            } => self.on_direct_reply(&machine_id, exchange, answer),
             Event::Ready { reply } => {
                 let ready = self.ready();
                 self.effects.push(Effect::Ready { reply, ready });
--- a/src/controller/reachability/contact.rs
+++ b/src/controller/reachability/contact.rs
@@ -2,7 +2,7 @@
 
 use rustc_hash::FxHashMap as HashMap;
 
-use crate::types::{MachineId, Millis};
+use crate::types::{ExchangeId, MachineId, Millis};
 
 /// Time before a controller that released its shards a second time in a row inspects workers again;
 /// it doubles with each further release. Without this delay, shards would change holders every few
@@ -30,6 +30,8 @@
     pub(in crate::controller) relayed_heartbeats: HashMap<MachineId, Millis>,
     /// When the last sweep over all machines began.
     pub(in crate::controller) last_sweep: Millis,
+    /// The newest exchange of direct commands.
+    last_exchange: ExchangeId,
 }
 
 impl WorkerContact {
@@ -43,9 +45,16 @@
             most_heartbeats_overdue: false,
             relayed_heartbeats: HashMap::default(),
             last_sweep: Millis(0),
+            last_exchange: ExchangeId(0),
         }
     }
 
+    /// The id of a new exchange of direct commands.
+    pub(in crate::controller) fn next_exchange(&mut self) -> ExchangeId {
+        self.last_exchange.0 += 1;
+        self.last_exchange
+    }
+
     /// Records that a heartbeat arrived.
     pub(in crate::controller) fn record_heartbeat(&mut self, now: Millis) {
         self.last_heartbeat = now;
--- a/src/controller/reachability/probes.rs
+++ b/src/controller/reachability/probes.rs
@@ -80,15 +80,18 @@
         let worker_token = self.worker_token(token);
         let gone = self.autoscaler.fleet.deleted.contains(machine_id);
         let machine = self.machines.get_mut(machine_id);
-        let Some(machine) = machine.filter(|machine| !machine.direct.in_flight && !gone) else {
+        let Some(machine) = machine.filter(|machine| !machine.direct.is_in_flight() && !gone)
+        else {
             return;
         };
         let Some(address) = machine.address else {
             return;
         };
-        machine.direct.begin_without_starts(self.now);
+        let exchange = self.contact.next_exchange();
+        machine.direct.begin_without_starts(exchange, self.now);
         self.effects.push(Effect::DirectCommands {
             machine_id: machine_id.clone(),
+            exchange,
             address,
             worker_token,
             agent_epoch: machine.agent_epoch,
--- a/src/controller/reachability/tests.rs
+++ b/src/controller/reachability/tests.rs
@@ -6,7 +6,8 @@
 use crate::jobs::record::{JobRecord, job_key};
 use crate::jobs::{JobKind, Phase, Placement, Task};
 use crate::types::{
-    AgentEpoch, Attempt, FencingToken, JobId, MachineId, Millis, Revision, ShardId, WorkerToken,
+    AgentEpoch, Attempt, ExchangeId, FencingToken, JobId, MachineId, Millis, Revision, ShardId,
+    WorkerToken,
 };
 use crate::workers::Machine;
 use crate::workers::wire::{Heartbeat, WorkerCommand};
@@ -52,21 +53,35 @@
     controller.now = Millis(REPORTED);
     controller.contact.last_heartbeat = controller.now;
     controller.answer_heartbeat(heartbeat(&id, 1, &["running"]));
+    end_exchanges(&mut controller);
     let machine = controller.machines.get_mut(&MachineId::from(HOST)).unwrap();
     machine.reachability.confirm();
-    machine.direct.in_flight = false;
     // The commands piggybacked on the response were lost.
     machine.direct.piggybacked_starts.clear();
     controller.effects.clear();
     (controller, id)
 }
 
+/// Ends all exchanges of direct commands without a reply.
+fn end_exchanges(controller: &mut Controller) {
+    for effect in std::mem::take(&mut controller.effects) {
+        if let Effect::DirectCommands {
+            machine_id,
+            exchange,
+            ..
+        } = effect
+        {
+            controller.on_direct_reply(&machine_id, exchange, None);
+        }
+    }
+}
+
 fn reply_to_direct(controller: &mut Controller, heartbeat: Heartbeat, at: u64) {
     controller.now = Millis(at);
     let reply = CommandReply {
         heartbeat: Some(heartbeat),
     };
-    controller.on_direct_reply(&MachineId::from(HOST), Some(reply));
+    controller.on_direct_reply(&MachineId::from(HOST), ExchangeId(0), Some(reply));
 }
 
 /// Commands sent to the machine since the last call.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -145,7 +145,15 @@
 fn worker_event(response: DirectResponse) -> Event {
     match response {
         DirectResponse::Inspected(answered) => Event::Inspected { answered },
-        DirectResponse::Commands(machine_id, answer) => Event::DirectReply { machine_id, answer },
+        DirectResponse::Commands {
+            machine_id,
+            exchange,
+            reply,
+        } => Event::DirectReply {
+            machine_id,
+            exchange,
+            answer: reply,
+        },
     }
 }
 
@@ -220,6 +228,7 @@
             }),
             Effect::DirectCommands {
                 machine_id,
+                exchange,
                 address,
                 worker_token,
                 agent_epoch,
@@ -228,6 +237,7 @@
                 machine_id,
                 address,
                 kind: DirectRequestKind::Commands {
+                    exchange,
                     worker_token,
                     agent_epoch,
                     commands,
--- a/src/types.rs
+++ b/src/types.rs
@@ -140,6 +140,10 @@
     /// Identifies a request that waits for its response.
     ReplyId
 );
+number_type!(
+    /// Identifies an exchange of direct commands with a worker, among all of a controller's process.
+    ExchangeId
+);
 number_type!(
     /// Identifies a transaction in flight.
     TxnId
--- a/src/workers/direct.rs
+++ b/src/workers/direct.rs
@@ -14,7 +14,7 @@
 use crate::clock::Clock;
 use crate::controller::CommandReply;
 use crate::http_client::HttpClient;
-use crate::types::{AgentEpoch, MachineId, Millis, WorkerToken};
+use crate::types::{AgentEpoch, ExchangeId, MachineId, Millis, WorkerToken};
 
 /// Commands that were queued for longer are based on an outdated heartbeat: they are sent with the
 /// answer to the next heartbeat instead.
@@ -36,6 +36,8 @@
 pub enum DirectRequestKind {
     /// Sends commands; a request without any is a probe that only shows the token.
     Commands {
+        /// The exchange that the request begins.
+        exchange: ExchangeId,
         /// The token that fences the commands.
         worker_token: WorkerToken,
         /// The agent epoch for which the commands are valid; the worker refuses them in any other.
@@ -49,8 +51,15 @@
 
 /// The outcome of a request.
 pub enum DirectResponse {
-    /// The worker's reply to commands; `None` if it is unknown whether they were, or will be, executed.
-    Commands(MachineId, Option<CommandReply>),
+    /// An exchange of commands has ended.
+    Commands {
+        /// The machine whose worker got the commands.
+        machine_id: MachineId,
+        /// The exchange that has ended.
+        exchange: ExchangeId,
+        /// The worker's reply; `None` if it is unknown whether the commands were, or will be, executed.
+        reply: Option<CommandReply>,
+    },
     /// Whether a worker responded to an inspection.
     Inspected(bool),
 }
@@ -80,9 +89,11 @@
     /// not executed, since nothing was sent that could arrive late.
     fn expired_response(self) -> DirectResponse {
         match self.kind {
-            DirectRequestKind::Commands { .. } => {
-                DirectResponse::Commands(self.machine_id, Some(CommandReply { heartbeat: None }))
-            }
+            DirectRequestKind::Commands { exchange, .. } => DirectResponse::Commands {
+                machine_id: self.machine_id,
+                exchange,
+                reply: Some(CommandReply { heartbeat: None }),
+            },
             DirectRequestKind::Inspect => DirectResponse::Inspected(false),
         }
     }
@@ -90,12 +101,17 @@
     async fn exchange(self, client: HttpClient) -> DirectResponse {
         match self.kind {
             DirectRequestKind::Commands {
+                exchange,
                 worker_token,
                 agent_epoch,
                 commands,
             } => {
                 let reply = client::send(client, self.address, worker_token, agent_epoch, commands);
-                DirectResponse::Commands(self.machine_id, reply.await)
+                DirectResponse::Commands {
+                    machine_id: self.machine_id,
+                    exchange,
+                    reply: reply.await,
+                }
             }
             DirectRequestKind::Inspect => {
                 DirectResponse::Inspected(client::inspect(client, self.address).await)
--- a/src/workers/direct/tests.rs
+++ b/src/workers/direct/tests.rs
@@ -9,6 +9,7 @@
         machine_id: name.into(),
         address: ([127, 0, 0, 1], 9).into(),
         kind: DirectRequestKind::Commands {
+            exchange: ExchangeId(1),
             worker_token: WorkerToken::connected(FencingToken(1)),
             agent_epoch: AgentEpoch(1),
             commands: if commands { vec![command] } else { Vec::new() },
--- a/src/workers/direct_channel.rs
+++ b/src/workers/direct_channel.rs
@@ -3,13 +3,13 @@
 use rustc_hash::FxHashSet as HashSet;
 
 use super::wire::WorkerCommand;
-use crate::types::{AgentEpoch, Attempt, FencingToken, Millis, TaskId};
+use crate::types::{AgentEpoch, Attempt, ExchangeId, FencingToken, Millis, TaskId};
 
 /// The state of the direct commands to a worker: those sent without waiting for its heartbeat.
 #[derive(Clone, Debug, Default)]
 pub struct DirectChannel {
-    /// An exchange is in flight; there is never more than one.
-    pub in_flight: bool,
+    /// The exchange in flight; there is never more than one.
+    in_flight: Option<ExchangeInFlight>,
     /// When this controller last sent a request without starts, to see whether the worker responds.
     pub probed_at: Millis,
     /// More commands became due while an exchange was in flight.
@@ -19,8 +19,6 @@
     /// the attempt: such a task is not proved absent, and its attempt is not forgotten.
     pub unacknowledged_starts: HashSet<(TaskId, Attempt)>,
     valid_under: Validity,
-    /// Starts of the exchange in flight, without those that an earlier exchange left unacknowledged.
-    in_flight_starts: Vec<(TaskId, Attempt)>,
     /// Starts in the answer to the last heartbeat. The worker's next heartbeat shows either the starts or
     /// that the answer was dropped; its response to direct commands proves neither, since it may have
     /// been written before the answer arrived.
@@ -34,6 +32,14 @@
     agent_epoch: AgentEpoch,
 }
 
+/// An exchange whose outcome is not known yet.
+#[derive(Clone, Debug)]
+struct ExchangeInFlight {
+    exchange: ExchangeId,
+    /// Its starts, without those that an earlier exchange left unacknowledged.
+    starts: Vec<(TaskId, Attempt)>,
+}
+
 /// What an ended exchange leaves to its caller.
 #[derive(Debug)]
 pub struct EndedExchange {
@@ -70,32 +76,42 @@
         }
     }
 
+    /// Whether an exchange is in flight.
+    #[must_use]
+    pub fn is_in_flight(&self) -> bool {
+        self.in_flight.is_some()
+    }
+
     /// Begins an exchange that sends commands.
-    pub fn begin(&mut self, commands: &[WorkerCommand]) {
-        self.in_flight = true;
+    pub fn begin(&mut self, exchange: ExchangeId, commands: &[WorkerCommand]) {
         self.resend = false;
         let unacknowledged_starts = &mut self.unacknowledged_starts;
-        self.in_flight_starts = starts(commands)
+        let starts = starts(commands)
             // A start that an earlier exchange left unacknowledged stays unacknowledged, even if this
             // exchange is answered.
             .filter(|start| unacknowledged_starts.insert(start.clone()))
             .collect();
+        self.in_flight = Some(ExchangeInFlight { exchange, starts });
     }
 
     /// Begins an exchange that starts nothing.
-    pub fn begin_without_starts(&mut self, now: Millis) {
-        self.in_flight = true;
+    pub fn begin_without_starts(&mut self, exchange: ExchangeId, now: Millis) {
         self.probed_at = now;
-        self.in_flight_starts.clear();
+        let starts = Vec::new();
+        self.in_flight = Some(ExchangeInFlight { exchange, starts });
     }
 
-    /// Ends the exchange in flight, whether or not the worker responded.
-    pub fn end(&mut self) -> EndedExchange {
-        self.in_flight = false;
-        EndedExchange {
-            starts: std::mem::take(&mut self.in_flight_starts),
+    /// Ends an exchange, whether or not the worker responded. Returns none for an exchange that is not in
+    /// flight: it began before the machine was dropped from view and seen again, and its outcome says
+    /// nothing about the starts of later exchanges.
+    pub fn end(&mut self, exchange: ExchangeId) -> Option<EndedExchange> {
+        let ended = self
+            .in_flight
+            .take_if(|in_flight| in_flight.exchange == exchange)?;
+        Some(EndedExchange {
+            starts: ended.starts,
             resend: std::mem::take(&mut self.resend),
-        }
+        })
     }
 
     /// Records that the worker responded to these starts, so that none of them can arrive late.
@@ -113,3 +129,6 @@
         _ => None,
     })
 }
+
+#[cfg(test)]
+mod tests;
