Bound the starts to a worker that may still arrive late

Change: with 200 unacknowledged starts a worker gets further ones only with the answer to its heartbeat, which can't arrive late. Stops, and starts that are sent again, are not held back.

--- a/src/controller/heartbeats/direct_commands.rs
+++ b/src/controller/heartbeats/direct_commands.rs
@@ -25,16 +25,17 @@
         let Some(DirectTarget { address, token }) = self.direct_target(machine) else {
             return;
         };
-        let commands = without_forgotten(self.reconciliation_for(machine, token).commands);
+        let agent_epoch = machine.agent_epoch;
+        let mut commands = without_forgotten(self.reconciliation_for(machine, token).commands);
         let Some(machine) = self.machines.get_mut(machine_id) else {
             return;
         };
+        machine.direct.set_validity(token, agent_epoch);
+        machine.direct.remove_excess_starts(&mut commands);
         if commands.is_empty() || machine.direct.is_in_flight() {
             machine.direct.resend |= !commands.is_empty();
             return;
         }
-        let agent_epoch = machine.agent_epoch;
-        machine.direct.set_validity(token, agent_epoch);
         let exchange = self.contact.next_exchange();
         machine.direct.begin(exchange, &commands);
         let (machine_id, worker_token) = (machine_id.clone(), self.worker_token(token));
--- a/src/workers/direct_channel.rs
+++ b/src/workers/direct_channel.rs
@@ -5,6 +5,10 @@
 use super::wire::WorkerCommand;
 use crate::types::{AgentEpoch, Attempt, ExchangeId, FencingToken, Millis, TaskId};
 
+/// The most starts to a worker that may be unacknowledged. The worker lists the attempt of each until its
+/// token or agent epoch changes, and its heartbeat must not exceed 64 KiB.
+pub const MAX_UNACKNOWLEDGED_STARTS: usize = 200;
+
 /// The state of the direct commands to a worker: those sent without waiting for its heartbeat.
 #[derive(Clone, Debug, Default)]
 pub struct DirectChannel {
@@ -82,6 +86,23 @@
         self.in_flight.is_some()
     }
 
+    /// Removes the starts from `commands` that would exceed [`MAX_UNACKNOWLEDGED_STARTS`]: they are left to
+    /// the answer to the next heartbeat, after which none of them can arrive late.
+    pub fn remove_excess_starts(&self, commands: &mut Vec<WorkerCommand>) {
+        let mut free = MAX_UNACKNOWLEDGED_STARTS.saturating_sub(self.unacknowledged_starts.len());
+        commands.retain(|command| {
+            let WorkerCommand::Start { task, attempt } = command else {
+                return true;
+            };
+            if self.is_unacknowledged(task, *attempt) {
+                return true;
+            }
+            let fits = free > 0;
+            free -= usize::from(fits);
+            fits
+        });
+    }
+
     /// Begins an exchange that sends commands.
     pub fn begin(&mut self, exchange: ExchangeId, commands: &[WorkerCommand]) {
         self.resend = false;
