An exited attempt that stays listed no longer counts as a use of its image

Change: an exited attempt uses its image only while the records place it there. JobCache::placed_on answers this for reconciliation, evacuation and images alike; the last two had their own copies or none.

an_exited_attempt_that_stays_listed_does_not_use_its_image and a_termination_notice_stops_only_tasks_that_are_placed_on_the_machine fail with the respective condition taken out.

--- a/src/controller/heartbeats/observation.rs
+++ b/src/controller/heartbeats/observation.rs
@@ -145,11 +145,17 @@
         let Some(machine) = self.machines.get_mut(machine_id) else {
             return;
         };
-        let fetched = machine
+        // An exited attempt may stay listed long after its image was used.
+        let is_in_use = |reported: &&ReportedAttempt| {
+            let (task, attempt) = (&reported.task, reported.attempt);
+            let is_current = || self.jobs.placed_on(machine_id, task, attempt).is_some();
+            !reported.has_exited() || is_current()
+        };
+        let images: Vec<_> = machine
             .reported
             .iter()
-            .filter(|reported| has_image(reported));
-        let images: Vec<_> = fetched
+            .filter(|reported| has_image(reported))
+            .filter(is_in_use)
             .filter_map(|reported| self.jobs.get(&reported.task.job))
             .map(|job| (&job.spec.image, job.spec.image_gb))
             .collect();
--- a/src/controller/heartbeats/tests.rs
+++ b/src/controller/heartbeats/tests.rs
@@ -210,3 +210,73 @@
         }
     }
 }
+
+/// A machine that reports these attempts of a job's only task, with the task placed on it in attempt 2 or on another
+/// machine.
+fn report_attempts(placed_on: &str, warning_s: Option<f64>, picks: &[(u64, &str)]) -> Controller {
+    let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+    (spec.kind, spec.tasks) = (JobKind::Array, 1);
+    let placement = Task::Placed(Placement {
+        machine_id: placed_on.into(),
+        shard: ShardId::parse("a.0").unwrap(),
+        agent_epoch: AgentEpoch(1),
+        attempt: Attempt(2),
+    });
+    let (mut controller, id) = controller(spec, vec![placement]);
+    controller.now = Millis(20_000);
+    controller.store_sync.applied = Revision(9);
+    let picks: Vec<_> = picks
+        .iter()
+        .map(|(attempt, stage)| {
+            json!({"pick": format!("{id}/0"), "try": attempt, "stage": stage, "cause": "stopped"})
+        })
+        .collect();
+    for heartbeat_sequence in [1, 2] {
+        let heartbeat = json!({"host": "vm-2", "address": "10.0.0.9:1", "rig": "g8", "yard": "a",
+            "loaners": true, "shift": 1, "tally": heartbeat_sequence,
+            "baton": WorkerToken::connected(FencingToken(5)), "warningS": warning_s,
+            "picks": picks});
+        controller.answer_heartbeat(serde_json::from_value(heartbeat).unwrap());
+    }
+    controller
+}
+
+/// Guards against tasks that are sent to a machine for an image that it has evicted: an exited attempt that stays
+/// listed, since the reply to its start was late, counted as a use of its image in each heartbeat.
+#[test]
+fn an_exited_attempt_that_stays_listed_does_not_use_its_image() {
+    let cases = [
+        ("vm-2", &[(1, "ended")][..], false),
+        ("vm-2", &[(1, "ended"), (2, "running")][..], true),
+        ("vm-2", &[(2, "running"), (1, "ended")][..], true),
+        ("vm-2", &[(2, "ended")][..], true),
+        ("vm-1", &[(2, "ended")][..], false),
+        ("vm-1", &[(1, "running")][..], true),
+    ];
+    for (placed_on, picks, used) in cases {
+        let controller = report_attempts(placed_on, None, picks);
+        let images = &controller.machines[&MachineId::from("vm-2")].images;
+        assert_eq!(!images.is_empty(), used, "placed on {placed_on}: {picks:?}");
+    }
+}
+
+/// Guards against a needless stop: a machine under notice listed an outdated attempt of a task that ran on another
+/// machine, and the task was stopped there.
+#[test]
+fn a_termination_notice_stops_only_tasks_that_are_placed_on_the_machine() {
+    let cases = [
+        ("vm-2", &[(2, "running")][..], true),
+        ("vm-2", &[(2, "running"), (1, "ended")][..], true),
+        ("vm-2", &[(1, "running")][..], false),
+        ("vm-1", &[(1, "running")][..], false),
+    ];
+    for (placed_on, picks, stopped) in cases {
+        let controller = report_attempts(placed_on, Some(30.0), picks);
+        let stops = &controller.scheduler.stops;
+        assert_eq!(
+            !stops.is_empty(),
+            stopped,
+            "placed on {placed_on}: {picks:?}"
+        );
+    }
+}
--- a/src/controller/reachability/evacuation.rs
+++ b/src/controller/reachability/evacuation.rs
@@ -136,14 +136,10 @@
         };
         // An outdated attempt says nothing about the current one, which may be on another machine.
         let is_current_with_checkpoints = |reported: &&ReportedAttempt| {
-            let job = self.jobs.get(&reported.task.job);
-            job.is_some_and(|job| {
-                let placement = job.task(reported.task.index).placement();
-                let is_current = placement.is_some_and(|placement| {
-                    placement.machine_id == *machine_id && placement.attempt == reported.attempt
-                });
-                is_current && job.spec.checkpoint_s > 0.0
-            })
+            let current = self
+                .jobs
+                .placed_on(machine_id, &reported.task, reported.attempt);
+            current.is_some_and(|(job, _)| job.spec.checkpoint_s > 0.0)
         };
         let stopped: Vec<TaskId> = machine
             .reported
--- a/src/jobs/cache/mod.rs
+++ b/src/jobs/cache/mod.rs
@@ -17,7 +17,8 @@
 use rustc_hash::{FxHashMap as HashMap, FxHashSet as HashSet};
 
 use super::api::JobState;
-use crate::types::{JobId, MachineId, Resources, Revision, ShardId, Team};
+use crate::jobs::Placement;
+use crate::types::{Attempt, JobId, MachineId, Resources, Revision, ShardId, TaskId, Team};
 pub use apply::RecordChange;
 pub use change::{CommitState, Evidence, TaskChange};
 use job::FinishedJob;
@@ -74,6 +75,19 @@
         self.usage.tasks_on(machine_id)
     }
 
+    /// The job of a task and its placement, if the records place this attempt on the machine.
+    pub fn placed_on(
+        &self,
+        machine_id: &MachineId,
+        task: &TaskId,
+        attempt: Attempt,
+    ) -> Option<(&Job, &Placement)> {
+        let job = self.jobs.get(&task.job)?;
+        let placement = job.task(task.index).placement()?;
+        let matches = placement.machine_id == *machine_id && placement.attempt == attempt;
+        matches.then_some((job, placement))
+    }
+
     /// The machines that the records place tasks on.
     pub fn machine_ids(&self) -> impl Iterator<Item = &MachineId> {
         self.usage.machine_ids()
--- a/src/workers/reconcile.rs
+++ b/src/workers/reconcile.rs
@@ -103,12 +103,10 @@
 
     /// The job of a reported task, if its record has that attempt placed here in this agent epoch.
     fn current_job(&self, task: &TaskId, attempt: Attempt) -> Option<&'a Job> {
-        let job = self.jobs.get(&task.job)?;
-        let placement = job.task(task.index).placement()?;
-        let current = placement.machine_id == self.machine.machine_id
-            && placement.agent_epoch == self.machine.agent_epoch
-            && placement.attempt == attempt;
-        current.then_some(job)
+        let (job, placement) = self
+            .jobs
+            .placed_on(&self.machine.machine_id, task, attempt)?;
+        (placement.agent_epoch == self.machine.agent_epoch).then_some(job)
     }
 
     fn reconcile_current_attempt(&mut self, job: &Job, reported: &ReportedAttempt) {
