--- a/src/controller/autoscaling/mod.rs
+++ b/src/controller/autoscaling/mod.rs
@@ -66,7 +66,7 @@
 }
 
 impl Autoscaler {
-    fn type_spec(&self, machine_type: &MachineTypeId) -> Option<&MachineTypeSpec> {
+    pub(super) fn type_spec(&self, machine_type: &MachineTypeId) -> Option<&MachineTypeSpec> {
         find_machine_type(&self.type_specs, machine_type)
     }
 
--- a/src/controller/candidates/eligibility.rs
+++ b/src/controller/candidates/eligibility.rs
@@ -11,10 +11,7 @@
         &self,
         machine_type: &MachineTypeId,
     ) -> Option<&MachineTypeSpec> {
-        self.autoscaler
-            .type_specs
-            .iter()
-            .find(|type_spec| type_spec.id == *machine_type)
+        self.autoscaler.type_spec(machine_type)
     }
 
     /// The resources of an empty machine of this type; zero if the type is unknown.
--- a/src/controller/hierarchical_quota/reservation.rs
+++ b/src/controller/hierarchical_quota/reservation.rs
@@ -4,10 +4,10 @@
 //! for such a task. The borrowed tasks on a machine are stopped nevertheless, and the machine is
 //! kept for the job until the machine's other tasks have ended.
 
-use super::super::{Controller, Effect};
+use super::super::Controller;
+use crate::controller::preemption::HolderRequest;
 use crate::jobs::JobKind;
 use crate::jobs::cache::Job;
-use crate::peers::Message;
 use crate::preempt::PreemptionSite;
 use crate::quota::reclaim::{MachineReservation, ReclaimPlanner};
 use crate::types::{JobId, MachineId, Millis, TaskId};
@@ -103,9 +103,9 @@
         id: &JobId,
         reservation: MachineReservation,
     ) -> bool {
-        let Some(resources) = self.jobs.get(id).map(|job| job.spec.resources) else {
+        if self.jobs.get(id).is_none() {
             return false;
-        };
+        }
         let MachineReservation {
             machine_id,
             victims,
@@ -113,18 +113,8 @@
         tracing::info!(job = %id, %machine_id, ?victims, "reserving machine and stopping borrowed tasks");
         self.start_reservation_pause(id);
         let expires_at = self.now + RESERVATION_TIMEOUT;
-        self.scheduler
-            .nominations
-            .add(id, &machine_id, resources, expires_at);
-        match self.machines.get(&machine_id) {
-            Some(machine) if !self.is_schedulable_locally(machine) => {
-                let to = machine.last_contact_by.clone();
-                let (job, machine_id) = (id.to_string(), machine_id.to_string());
-                let message = Message::Preempt { job, machine_id };
-                self.effects.push(Effect::Peer { to, message });
-            }
-            _ => self.stop_victims(&machine_id, victims),
-        }
+        let request = HolderRequest::FreeResources;
+        self.free_resources_on(id, machine_id, victims, expires_at, request);
         true
     }
 
--- a/src/controller/preemption/mod.rs
+++ b/src/controller/preemption/mod.rs
@@ -48,7 +48,7 @@
 
 /// The request to the holder of a machine on which resources are to be freed.
 #[derive(Clone, Copy)]
-enum HolderRequest {
+pub(in crate::controller) enum HolderRequest {
     /// Take the job over, and preempt on the machine if it does not fit otherwise.
     PlaceJob,
     /// Preempt on the machine for a job that the leader places, or for several tasks of it.
@@ -118,9 +118,13 @@
             .unwrap_or(NOMINATION_TIMEOUT);
         let expires_at = self.now + timeout;
         for offer in offers {
-            let (machine_id, victims) = (&offer.machine_id, &offer.victims);
+            let PreemptionOffer {
+                machine_id,
+                victims,
+                ..
+            } = offer;
             tracing::info!(job = %id, %machine_id, ?victims, "preempting tasks");
-            self.free_resources_on(id, offer, expires_at, request);
+            self.free_resources_on(id, machine_id, victims, expires_at, request);
         }
         true
     }
@@ -137,24 +141,25 @@
         );
         let expires_at = self.now + NOMINATION_TIMEOUT;
         for offer in offers {
-            self.free_resources_on(id, offer, expires_at, HolderRequest::FreeResources);
+            let request = HolderRequest::FreeResources;
+            self.free_resources_on(id, offer.machine_id, offer.victims, expires_at, request);
         }
         true
     }
 
     /// Nominates a job for a machine until `expires_at`, and has tasks stopped there, by the
     /// machine's holder if that is another controller.
-    fn free_resources_on(
+    pub(in crate::controller) fn free_resources_on(
         &mut self,
         id: &JobId,
-        offer: PreemptionOffer,
+        machine_id: MachineId,
+        victims: Vec<TaskId>,
         expires_at: Millis,
         request: HolderRequest,
     ) {
         let Some(resources) = self.jobs.get(id).map(|job| job.spec.resources) else {
             return;
         };
-        let machine_id = offer.machine_id;
         self.scheduler
             .nominations
             .add(id, &machine_id, resources, expires_at);
@@ -164,7 +169,7 @@
                 let message = request.message(id, &machine_id);
                 self.effects.push(Effect::Peer { to, message });
             }
-            _ => self.stop_victims(&machine_id, offer.victims),
+            _ => self.stop_victims(&machine_id, victims),
         }
     }
 
--- a/src/workers/reconcile/tests.rs
+++ b/src/workers/reconcile/tests.rs
@@ -2,7 +2,7 @@
 use crate::jobs::api::{parse, tests::body};
 use crate::jobs::record::{JobRecord, encode_page, job_key, page_key};
 use crate::jobs::{JobKind, JobSpec};
-use crate::types::{AgentEpoch, MachineId, Millis, Revision, ShardId, WorkerToken};
+use crate::types::{AgentEpoch, Millis, Revision, ShardId, WorkerToken};
 use crate::workers::ReportedAttempts;
 
 /// Guards against a gang that never starts: it was placed on one machine with its image cached and fifteen
@@ -86,11 +86,7 @@
         jobs.apply(&job_key(&id), Some(&record), Revision(5), Millis(1));
         let page = encode_page(&[here.clone(), other_task]);
         jobs.apply(&page_key(&id, 0), Some(&page), Revision(6), Millis(1));
-        let (machine_id, shard) = (MachineId::from("vm-1"), ShardId::parse("a.0").unwrap());
-        let (machine_type, zone) = ("g8".into(), "a".into());
-        let mut machine = Machine::new(machine_id, machine_type, zone, false, shard, "n0".into());
-        (machine.agent_epoch, machine.worker_token) =
-            (AgentEpoch(1), WorkerToken::connected(FencingToken(4)));
+        let mut machine = machine_under_token();
         machine.reported = ReportedAttempts::from_iter([ReportedAttempt {
             task: task.clone(),
             attempt: last_attempt,
@@ -126,6 +122,26 @@
     }
 }
 
+/// Machine vm-1 in shard a.0, whose worker has seen token 4.
+fn machine_under_token() -> Machine {
+    let (machine_id, machine_type, zone) = ("vm-1".into(), "g8".into(), "a".into());
+    let shard = ShardId::parse("a.0").unwrap();
+    let mut machine = Machine::new(machine_id, machine_type, zone, false, shard, "n0".into());
+    machine.agent_epoch = AgentEpoch(1);
+    machine.worker_token = WorkerToken::connected(FencingToken(4));
+    machine
+}
+
+/// A placement on vm-1.
+fn placement(agent_epoch: u64, attempt: u64) -> Placement {
+    Placement {
+        machine_id: "vm-1".into(),
+        shard: ShardId::parse("a.0").unwrap(),
+        agent_epoch: AgentEpoch(agent_epoch),
+        attempt: Attempt(attempt),
+    }
+}
+
 /// The records of a job whose only task has this placement.
 fn jobs_with_one_placement(id: &JobId, spec: JobSpec, placement: Placement) -> JobCache {
     jobs_in_phase(id, spec, placement, Phase::Active)
@@ -162,20 +178,9 @@
     for (placed_epoch, current_epoch, confirmed, released) in cases {
         let (id, mut spec) = parse(body().to_string().as_bytes()).unwrap();
         spec.tasks = 1;
-        let shard = ShardId::parse("a.0").unwrap();
-        let placement = Placement {
-            machine_id: "vm-1".into(),
-            shard: shard.clone(),
-            agent_epoch: AgentEpoch(placed_epoch),
-            attempt: Attempt(1),
-        };
-        let jobs = jobs_with_one_placement(&id, spec, placement);
-        let (machine_id, machine_type, zone) = ("vm-1".into(), "g8".into(), "a".into());
-        let mut machine = Machine::new(machine_id, machine_type, zone, false, shard, "n0".into());
-        (machine.agent_epoch, machine.worker_token) = (
-            AgentEpoch(current_epoch),
-            WorkerToken::connected(FencingToken(4)),
-        );
+        let jobs = jobs_with_one_placement(&id, spec, placement(placed_epoch, 1));
+        let mut machine = machine_under_token();
+        machine.agent_epoch = AgentEpoch(current_epoch);
         if confirmed {
             machine.reachability.confirm();
         }
@@ -204,14 +209,7 @@
 fn a_start_in_flight_is_not_proved_absent() {
     let (id, mut spec) = parse(body().to_string().as_bytes()).unwrap();
     spec.tasks = 1;
-    let shard = ShardId::parse("a.0").unwrap();
-    let placement = Placement {
-        machine_id: "vm-1".into(),
-        shard: shard.clone(),
-        agent_epoch: AgentEpoch(1),
-        attempt: Attempt(1),
-    };
-    let jobs = jobs_with_one_placement(&id, spec, placement);
+    let jobs = jobs_with_one_placement(&id, spec, placement(1, 1));
     let task = TaskId { job: id, index: 0 };
     let attempt = Attempt(1);
     let stops = RequestedStops::from_iter([(
@@ -245,18 +243,7 @@
         ),
     ];
     for (name, send_start, released) in cases {
-        let machine_id = MachineId::from("vm-1");
-        let (machine_type, zone) = ("g8".into(), "a".into());
-        let mut machine = Machine::new(
-            machine_id,
-            machine_type,
-            zone,
-            false,
-            shard.clone(),
-            "n0".into(),
-        );
-        (machine.agent_epoch, machine.worker_token) =
-            (AgentEpoch(1), WorkerToken::connected(FencingToken(4)));
+        let mut machine = machine_under_token();
         send_start(&mut machine, (task.clone(), attempt));
         let outcome = reconcile(&machine, FencingToken(4), &jobs, &stops, |_| false);
         assert_eq!(!outcome.changes.is_empty(), released, "{name}");
@@ -285,18 +272,8 @@
     for (stopped, released) in [(1, false), (2, true)] {
         let (id, mut spec) = parse(body().to_string().as_bytes()).unwrap();
         spec.tasks = 1;
-        let shard = ShardId::parse("a.0").unwrap();
-        let placement = Placement {
-            machine_id: "vm-1".into(),
-            shard: shard.clone(),
-            agent_epoch: AgentEpoch(1),
-            attempt: Attempt(2),
-        };
-        let jobs = jobs_with_one_placement(&id, spec, placement);
-        let (machine_id, machine_type, zone) = ("vm-1".into(), "g8".into(), "a".into());
-        let mut machine = Machine::new(machine_id, machine_type, zone, false, shard, "n0".into());
-        (machine.agent_epoch, machine.worker_token) =
-            (AgentEpoch(1), WorkerToken::connected(FencingToken(4)));
+        let jobs = jobs_with_one_placement(&id, spec, placement(1, 2));
+        let machine = machine_under_token();
         let stop = Stop {
             attempt: Attempt(stopped),
             save: false,
@@ -313,16 +290,8 @@
 fn after_two_attempts(id: &JobId, phase: Phase, listed: &[&str]) -> (Machine, JobCache) {
     let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
     spec.tasks = 1;
-    let shard = ShardId::parse("a.0").unwrap();
-    let placement = Placement {
-        machine_id: "vm-1".into(),
-        shard: shard.clone(),
-        agent_epoch: AgentEpoch(1),
-        attempt: Attempt(2),
-    };
-    let jobs = jobs_in_phase(id, spec, placement, phase);
-    let (machine_id, machine_type, zone) = ("vm-1".into(), "g8".into(), "a".into());
-    let mut machine = Machine::new(machine_id, machine_type, zone, false, shard, "n0".into());
+    let jobs = jobs_in_phase(id, spec, placement(1, 2), phase);
+    let mut machine = machine_under_token();
     let heartbeat = format!(
         r#"{{"host":"vm-1","rig":"g8","yard":"a","loaners":false,"shift":1,"tally":8,"baton":8,
         "picks":[{}]}}"#,
