--- a/src/http_server/tests.rs
+++ b/src/http_server/tests.rs
@@ -63,6 +63,10 @@
     End,
 }
 
+fn part(pause_ms: u64, bytes: &str) -> Sent {
+    Sent::Part(pause_ms, bytes.into())
+}
+
 /// How a request ended for its client.
 #[derive(Debug)]
 struct Outcome {
@@ -146,103 +150,83 @@
     let routes = test_routes();
     let body = valid_submission().to_string();
     let (first, second) = body.split_at(body.len() / 2);
-    let (first, second) = (first.to_string(), second.to_string());
-    let whole = || Sent::Part(0, body.clone());
     let chunk = |bytes: &str| format!("{:x}\r\n{bytes}\r\n", bytes.len());
     let sound = length(body.len());
     let large = "x".repeat(api::MAX_BODY_BYTES + 1);
+    let all = || sound.clone();
+    let chunked = || CHUNKED.to_string();
+    let too_large = length(large.len());
+    let last = "0\r\n\r\n";
+    let late_end = chunk(second) + last;
+    let large_chunk = chunk(&large) + last;
+    let unread: &[u16] = &[503, 0];
     let cases: Vec<(&str, String, Vec<Sent>, &[u16])> = vec![
-        ("whole", sound.clone(), vec![whole()], &[201]),
+        // how the body is sent, the framing, what follows the head, statuses; 0: closed without a response
+        ("whole", all(), vec![part(0, &body)], &[201]),
+        ("held", all(), vec![part(4_000, &body)], &[201]),
         (
-            "held for 4 s",
-            sound.clone(),
-            vec![Sent::Part(4_000, body.clone())],
+            "half held",
+            all(),
+            vec![part(0, first), part(4_000, second)],
             &[201],
         ),
         (
-            "second half held for 4 s",
-            sound.clone(),
-            vec![
-                Sent::Part(0, first.clone()),
-                Sent::Part(4_000, second.clone()),
-            ],
+            "chunks",
+            chunked(),
+            vec![part(100, &chunk(first)), part(3_900, &late_end)],
             &[201],
         ),
+        ("never sent", all(), vec![], &[503]),
+        ("held for too long", all(), vec![part(6_000, &body)], &[503]),
+        ("cut off", all(), vec![part(0, first), Sent::End], unread),
         (
-            "in chunks",
-            CHUNKED.into(),
-            vec![
-                Sent::Part(100, chunk(&first)),
-                Sent::Part(3_900, chunk(&second) + "0\r\n\r\n"),
-            ],
-            &[201],
+            "cut off in chunks",
+            chunked(),
+            vec![part(0, &chunk(first)), Sent::End],
+            unread,
         ),
-        ("never sent", sound.clone(), vec![], &[503]),
         (
-            "held for longer than users wait",
-            sound.clone(),
-            vec![Sent::Part(6_000, body.clone())],
-            &[503],
-        ),
-        (
-            "ended early",
-            sound.clone(),
-            vec![Sent::Part(0, first.clone()), Sent::End],
-            &[503, 0],
-        ),
-        (
-            "ended early, in chunks",
-            CHUNKED.into(),
-            vec![Sent::Part(0, chunk(&first)), Sent::End],
-            &[503, 0],
-        ),
-        (
-            "one byte at a time",
+            "byte by byte",
             length(api::MAX_BODY_BYTES),
             vec![Sent::Endless(200, " ")],
             &[503],
         ),
+        ("not JSON", length(4), vec![part(0, "job-")], &[400]),
         (
-            "not JSON",
-            length(4),
-            vec![Sent::Part(0, "job-".into())],
-            &[400],
-        ),
-        (
-            "JSON without fields",
+            "no fields, held",
             length(2),
-            vec![Sent::Part(4_000, "{}".into())],
+            vec![part(4_000, "{}")],
             &[400],
         ),
         ("empty", length(0), vec![], &[400]),
         (
             "too large",
-            length(large.len()),
-            vec![Sent::Part(0, large.clone())],
+            too_large.clone(),
+            vec![part(0, &large)],
             &[400],
         ),
         (
-            "too large, and its end never sent",
-            length(large.len()),
-            vec![Sent::Part(0, first.clone())],
+            "too large, not ended",
+            too_large,
+            vec![part(0, first)],
             &[400],
         ),
         (
-            "too large, in chunks",
-            CHUNKED.into(),
-            vec![Sent::Part(0, chunk(&large) + "0\r\n\r\n")],
+            "too large in chunks",
+            chunked(),
+            vec![part(0, &large_chunk)],
             &[400],
         ),
         (
             "endless",
-            CHUNKED.into(),
+            chunked(),
             vec![Sent::Endless(0, "10\r\n0123456789abcdef\r\n")],
             &[400],
         ),
         (
-            "an invalid chunk",
-            CHUNKED.into(),
-            vec![Sent::Part(0, "zz\r\n{}\r\n0\r\n\r\n".into())],
+            "invalid chunk",
+            chunked(),
+            vec![part(0, "zz\r\n{}\r\n0\r\n\r\n")],
             &[400],
         ),
     ];
@@ -271,7 +255,7 @@
     let routes = test_routes();
     let framing = length(HEARTBEAT.len());
     for (held_ms, expected) in [(0, 421), (3_000, 421), (3_700, 503), (6_000, 503)] {
-        let parts = vec![Sent::Part(held_ms, HEARTBEAT.into())];
+        let parts = vec![part(held_ms, HEARTBEAT)];
         let outcome = exchange(&routes, "/v1/report", &framing, parts).await;
         assert_eq!(outcome.status, Some(expected), "{held_ms} ms: {outcome:?}");
         assert!(outcome.waited < WORKER_TIMEOUT, "{held_ms} ms: {outcome:?}");
@@ -286,7 +270,7 @@
     let routes = routes(inbox);
     let body = valid_submission().to_string();
     for held_ms in [0, 2_000, 4_300] {
-        let parts = vec![Sent::Part(held_ms, body.clone())];
+        let parts = vec![part(held_ms, &body)];
         let outcome = exchange(&routes, "/api/jobs", &length(body.len()), parts).await;
         assert_eq!(outcome.status, Some(503), "{held_ms} ms: {outcome:?}");
         assert!(outcome.waited < USER_TIMEOUT, "{held_ms} ms: {outcome:?}");
@@ -320,6 +304,6 @@
     assert!(waited < SUBMISSION_BODY.timeout / 2, "no bound was reached");
     // The memory of a body is free again once its time has passed.
     tokio::time::sleep(SUBMISSION_BODY.timeout * 2).await;
-    let outcome = exchange(&routes, "/api/jobs", &sound, vec![Sent::Part(0, body)]).await;
+    let outcome = exchange(&routes, "/api/jobs", &sound, vec![part(0, &body)]).await;
     assert_eq!(outcome.status, Some(201), "{outcome:?}");
 }
