Tests of heartbeats and reachability use the placement of the commit tests

The same placement was built by hand in three files; placed() of the commit tests serves all of them.

--- a/src/controller/commits/tests.rs
+++ b/src/controller/commits/tests.rs
@@ -13,7 +13,8 @@
 use crate::types::{AgentEpoch, Attempt, FencingToken, LeaseId, MachineId, ShardId};
 use crate::workers::Machine;
 
-fn placed(machine_id: &str, shard: &str, attempt: u64) -> Task {
+/// A task that the records place on a machine in its first agent epoch.
+pub(crate) fn placed(machine_id: &str, shard: &str, attempt: u64) -> Task {
     Task::Placed(Placement {
         machine_id: machine_id.into(),
         shard: ShardId::parse(shard).unwrap(),
--- a/src/controller/heartbeats/tests.rs
+++ b/src/controller/heartbeats/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::controller::CommandReply;
-use crate::controller::commits::tests::controller;
+use crate::controller::commits::tests::{controller, placed};
 use crate::controller::peer_messages::PeerStatus;
 use crate::jobs::api::{parse, tests::body};
 use crate::jobs::{JobKind, Placement, Task};
@@ -216,13 +216,7 @@
 fn report_attempts(placed_on: &str, warning_s: Option<f64>, picks: &[(u64, &str)]) -> Controller {
     let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
     (spec.kind, spec.tasks) = (JobKind::Array, 1);
-    let placement = Task::Placed(Placement {
-        machine_id: placed_on.into(),
-        shard: ShardId::parse("a.0").unwrap(),
-        agent_epoch: AgentEpoch(1),
-        attempt: Attempt(2),
-    });
-    let (mut controller, id) = controller(spec, vec![placement]);
+    let (mut controller, id) = controller(spec, vec![placed(placed_on, "a.0", 2)]);
     controller.now = Millis(20_000);
     controller.store_sync.applied = Revision(9);
     let picks: Vec<_> = picks
--- a/src/controller/reachability/tests.rs
+++ b/src/controller/reachability/tests.rs
@@ -1,13 +1,12 @@
 use serde_json::json;
 
-use crate::controller::commits::tests::controller;
+use crate::controller::commits::tests::{controller, placed};
 use crate::controller::{CommandReply, Controller, Effect};
 use crate::jobs::api::{parse, tests::body};
 use crate::jobs::record::{JobRecord, job_key};
-use crate::jobs::{JobKind, Phase, Placement, Task};
+use crate::jobs::{JobKind, Phase};
 use crate::types::{
-    AgentEpoch, Attempt, ExchangeId, FencingToken, JobId, MachineId, Millis, Revision, ShardId,
-    WorkerToken,
+    ExchangeId, FencingToken, JobId, MachineId, Millis, Revision, ShardId, WorkerToken,
 };
 use crate::workers::Machine;
 use crate::workers::wire::{Heartbeat, WorkerCommand};
@@ -31,12 +30,7 @@
 fn reported_machine() -> (Controller, JobId) {
     let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
     (spec.kind, spec.tasks) = (JobKind::Array, 2);
-    let here = Task::Placed(Placement {
-        machine_id: HOST.into(),
-        shard: ShardId::parse("a.0").unwrap(),
-        agent_epoch: AgentEpoch(1),
-        attempt: Attempt(1),
-    });
+    let here = placed(HOST, "a.0", 1);
     let (mut controller, id) = controller(spec, vec![here.clone(), here]);
     let shard = ShardId::parse("a.0").unwrap();
     let (machine_id, machine_type, zone) = (MachineId::from(HOST), "g8".into(), "a".into());
