--- a/crates/simulator/src/machines/commands.rs
+++ b/crates/simulator/src/machines/commands.rs
@@ -144,6 +144,7 @@
             Some(spec) => {
                 let allocated = self.allocated_on(machine).plus(spec.resources);
                 if allocated.fits_in(self.machine_type.resources) {
+                    self.attempts_begun += 1;
                     let (image, size_gb) = (spec.image.clone(), spec.image_gb);
                     task.stage_ends_at = self.image_ready_at(machine_id, &image, size_gb, now);
                 } else {
--- a/crates/simulator/src/machines/machine.rs
+++ b/crates/simulator/src/machines/machine.rs
@@ -153,6 +153,8 @@
     pub last_renewal: Option<(usize, Millis)>,
     /// When the machine last rebooted; 0 if it never has.
     pub rebooted_at: Millis,
+    /// When a reboot last reset the agent's counters; 0 if none has.
+    pub reset_at: Millis,
     /// Address of the agent as reported in heartbeats.
     pub address: String,
 }
@@ -191,6 +193,7 @@
             reached_only_by: None,
             last_renewal: None,
             rebooted_at: Millis(0),
+            reset_at: Millis(0),
             address: "10.1.0.1:1".into(),
         }
     }
--- a/crates/simulator/src/machines/mod.rs
+++ b/crates/simulator/src/machines/mod.rs
@@ -15,7 +15,7 @@
 use jaspertiller::types::{
     JobId, MachineId, MachineTypeId, Millis, Resources, TaskId, WorkerToken, Zone,
 };
-use jaspertiller::workers::wire::Heartbeat;
+use jaspertiller::workers::wire::{ExitCause, Heartbeat};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -74,6 +74,8 @@
     pub broken_gangs: u64,
     /// Run time lost to stops and failures, because no checkpoint covered it, and run time spent on saving.
     pub lost_run_time: Millis,
+    /// Number of start commands that made a worker begin an attempt.
+    pub attempts_begun: u64,
     /// Number of started tasks that workers killed because the lease of the worker expired.
     pub killed_by_lease: u64,
 }
@@ -96,6 +98,7 @@
             ignore_lease_expiry: false,
             broken_gangs: 0,
             lost_run_time: Millis(0),
+            attempts_begun: 0,
             killed_by_lease: 0,
         }
     }
@@ -150,6 +153,7 @@
         machine.next_heartbeat = now;
         machine.controller = controller;
         if reset_agent {
+            machine.reset_at = now;
             machine.agent_epoch = 1;
             machine.heartbeat_sequence = 0;
             machine.worker_token = WorkerToken(0);
@@ -158,6 +162,18 @@
         }
     }
 
+    /// Ends an attempt at once, as if the worker had seen it end for this cause.
+    pub fn end_attempt(&mut self, machine_id: &MachineId, id: &TaskAttempt, cause: ExitCause) {
+        let machine = self.by_id.get_mut(machine_id);
+        let Some(task) = machine.and_then(|machine| machine.tasks.get_mut(id)) else {
+            return;
+        };
+        task.exit(cause);
+        if cause == ExitCause::Done {
+            self.completed.insert(id.task.clone());
+        }
+    }
+
     fn has_lost_lease(&self, machine: &Machine, now: Millis) -> bool {
         machine.is_lease_expired(self.timing.lease, now) && !self.ignore_lease_expiry
     }
--- a/crates/simulator/src/sim/delivery.rs
+++ b/crates/simulator/src/sim/delivery.rs
@@ -19,7 +19,10 @@
     pub(super) fn deliver(&mut self, message: ScheduledMessage) {
         match message {
             ScheduledMessage::Step => self.step(),
-            ScheduledMessage::Stop { controller } => self.controllers[controller] = None,
+            ScheduledMessage::Stop { controller } => {
+                self.controllers[controller] = None;
+                self.stopped_at[controller] = self.now;
+            }
             ScheduledMessage::Start { controller } => self.start_controller(controller),
             ScheduledMessage::Tick(process) => self.tick(process),
             ScheduledMessage::ControllerEvent { process, event } => {
@@ -39,6 +42,9 @@
                 }
             }
             ScheduledMessage::DirectCommands(direct) => self.receive_direct_commands(direct),
+            ScheduledMessage::CommandCopy(commands) => {
+                self.deliver_command_copy(&commands);
+            }
             ScheduledMessage::Heartbeat(heartbeat) => self.receive_heartbeat(heartbeat),
             ScheduledMessage::DuplicateHeartbeat(heartbeat) => {
                 self.receive_duplicate_heartbeat(heartbeat);
@@ -66,6 +72,7 @@
         self.controllers[controller] = Some(Controller::new(settings, seed));
         let process = self.process(controller);
         self.post(self.now + 1, ScheduledMessage::Tick(process));
+        self.copy_commands_of_restarted_controller(controller);
     }
 
     fn tick(&mut self, process: ProcessId) {
--- a/crates/simulator/src/sim/faults.rs
+++ b/crates/simulator/src/sim/faults.rs
@@ -72,6 +72,20 @@
     pub replace_share: f64,
 }
 
+/// A fault that delivers direct commands, which were carried out and answered, to their workers again.
+#[derive(Clone)]
+pub struct CommandCopies {
+    /// Share of direct commands that are copied, from 0 to 1.
+    pub share: f64,
+    /// Share of recent direct commands that are copied when their sender or their machine is back within a second,
+    /// from 0 to 1.
+    pub restart_share: f64,
+    /// Delay of a copy in milliseconds.
+    pub delay_ms: Range<u64>,
+    /// Most copies of the same commands.
+    pub max_copies: u32,
+}
+
 /// A period in which store calls take longer.
 #[derive(Clone)]
 pub struct SlowStore {
@@ -95,6 +109,8 @@
     /// Share of direct commands that are executed at once and whose reply comes after the sender has timed out, from 0
     /// to 1.
     pub late_reply_share: f64,
+    /// Duplication of direct commands that were carried out and answered.
+    pub command_copies: Option<CommandCopies>,
     /// Duplication of heartbeats.
     pub heartbeat_copies: Option<HeartbeatCopies>,
     /// Duplication of messages between controllers, with the delay of the duplicate.
@@ -132,6 +148,10 @@
     pub late_writes_rejected: u64,
     /// Direct commands that were executed after their sender had timed out.
     pub late_commands_executed: u64,
+    /// Duplicates of direct commands that workers accepted, with a start or a stop among them.
+    pub command_copies: u64,
+    /// Tasks that such a duplicate started.
+    pub starts_by_copies: u64,
     /// Replies to direct commands that came after their sender had timed out.
     pub late_replies: u64,
     /// Duplicate heartbeats with an earlier agent epoch than the current one of their machine.
--- a/crates/simulator/src/sim/message.rs
+++ b/crates/simulator/src/sim/message.rs
@@ -7,6 +7,7 @@
 use jaspertiller::types::{AgentEpoch, ExchangeId, JobId, MachineId, WorkerToken};
 use jaspertiller::workers::wire::{HeartbeatResponse, WorkerCommand};
 
+use super::command_copies::ExecutedCommands;
 use crate::machines::OutgoingHeartbeat;
 
 /// A store call in a controller's priority lanes, with the tag under which the controller expects the response.
@@ -92,6 +93,8 @@
     BudgetCheck(ProcessId),
     /// Commands arrive at a worker.
     DirectCommands(DirectCommands),
+    /// A duplicate of direct commands, which were carried out and answered, arrives at the worker.
+    CommandCopy(ExecutedCommands),
     /// A heartbeat arrives at a controller.
     Heartbeat(OutgoingHeartbeat),
     /// A duplicate of a heartbeat arrives at a controller; nothing waits for the response.
--- a/crates/simulator/src/sim/mod.rs
+++ b/crates/simulator/src/sim/mod.rs
@@ -4,6 +4,7 @@
 //! messages. Messages with equal times are delivered in the order in which they were scheduled, so that a run
 //! repeats exactly.
 
+mod command_copies;
 mod delivery;
 mod effects;
 mod faults;
@@ -16,7 +17,7 @@
 mod workers;
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -35,9 +36,10 @@
 use crate::rules::Rules;
 use crate::state::StateService;
 
+pub use command_copies::ExecutedCommands;
 pub use faults::{
-    Cut, FaultCounts, HeartbeatCopies, NetworkFaults, RandomDelay, Refusal, SlowStore, StoreFaults,
-    ZoneCut,
+    CommandCopies, Cut, FaultCounts, HeartbeatCopies, NetworkFaults, RandomDelay, Refusal,
+    SlowStore, StoreFaults, ZoneCut,
 };
 pub use users::{JobPlan, job};
 
@@ -66,6 +68,8 @@
     store_lanes: Vec<Lanes<(u64, StoreCall)>>,
     /// When each controller's budget is checked next, in milliseconds.
     next_budget_check: Vec<u64>,
+    /// When each controller was last stopped, in milliseconds.
+    stopped_at: Vec<u64>,
     /// Settings that each controller gets at its next start.
     pub settings: Vec<Arc<Settings>>,
     pending_replies: HashMap<ReplyId, PendingReply>,
@@ -79,6 +83,10 @@
     pub store_faults: StoreFaults,
     /// How often injected faults took effect.
     pub fault_counts: FaultCounts,
+    /// Direct commands that were carried out and answered lately, while their duplication is injected.
+    recent_commands: VecDeque<ExecutedCommands>,
+    /// All direct commands that were carried out and answered, if they are recorded.
+    pub executed_commands: Option<Vec<ExecutedCommands>>,
     /// Share of jobs whose user cancels, polls and resubmits as the last task completes, from 0 to 1.
     pub completion_race_share: f64,
     /// Jobs whose tasks have all completed.
@@ -128,6 +136,7 @@
             epochs: vec![0; controllers],
             store_lanes: settings.iter().map(|s| store_lanes(s, 1)).collect(),
             next_budget_check: vec![0; controllers],
+            stopped_at: vec![0; controllers],
             settings,
             pending_replies: HashMap::new(),
             store: StateService::new(config.state),
@@ -135,6 +144,8 @@
             network: NetworkFaults::default(),
             store_faults: StoreFaults::default(),
             fault_counts: FaultCounts::default(),
+            recent_commands: VecDeque::new(),
+            executed_commands: None,
             completion_race_share: 0.0,
             completed_jobs: HashSet::new(),
             machines: Machines::new(&config, seed),
--- a/crates/simulator/src/sim/process_faults.rs
+++ b/crates/simulator/src/sim/process_faults.rs
@@ -98,6 +98,7 @@
         if let Some(machine_id) = self.running_machine_id(index) {
             self.machines
                 .reboot(&machine_id, reset_agent, Millis(self.now));
+            self.copy_commands_of_restarted_machine(&machine_id);
         }
     }
 
--- a/crates/simulator/src/sim/workers.rs
+++ b/crates/simulator/src/sim/workers.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 
 use super::World;
+use super::command_copies::ExecutedCommands;
 use super::effects::DIRECT_TIMEOUT;
 use super::faults::Blocked;
 use super::message::{DirectCommands, PendingReply, ScheduledMessage};
@@ -127,6 +128,7 @@
 
     fn execute_direct_commands(&mut self, mut direct: DirectCommands) {
         let now = Millis(self.now);
+        let executed = ExecutedCommands::of(&direct);
         let commands = std::mem::take(&mut direct.commands);
         let has_commands = !commands.is_empty();
         let is_executed = self.machines.execute_direct(
@@ -141,6 +143,9 @@
         if !direct.reply.is_expected() {
             return;
         }
+        if is_executed && has_commands {
+            self.record_executed_commands(executed);
+        }
         let heartbeat = self.machines.heartbeat(&direct.machine_id);
         let answer = Some(CommandReply { heartbeat });
         // A delayed response may arrive after newer heartbeats.
--- a/crates/simulator/tests/faults/combined_faults/mod.rs
+++ b/crates/simulator/tests/faults/combined_faults/mod.rs
@@ -13,7 +13,7 @@
 use cluster_simulator::sim::{JobPlan, Refusal, World, job};
 use jaspertiller::types::{JobId, Millis};
 
-use super::{FAULTS_END, cut_except_workers, finish, seeds};
+use super::{FAULTS_END, command_copies, cut_except_workers, finish, seeds};
 
 /// Milliseconds at which the first fault begins; all jobs are running by then.
 const FAULT_START: u64 = 40_000;
@@ -113,10 +113,12 @@
     let groups = [holders::SCENARIOS, machines::SCENARIOS, users::SCENARIOS];
     let name_filter = std::env::var("MEETING_NAME").unwrap_or_default();
     let selected = |scenario: &&Scenario| scenario.name.contains(&name_filter);
+    let mut copies = command_copies::CopyCount::default();
     for scenario in groups.into_iter().flatten().filter(selected) {
         let mut observed_counts: Vec<(&str, u64)> = Vec::new();
         for seed in seeds.clone() {
             let mut world = scenario.world(seed);
+            command_copies::inject(&mut world, seed);
             super::enable_logging_if_requested();
             for (evidence, count) in (scenario.play)(&mut world) {
                 match observed_counts
@@ -128,6 +130,7 @@
                 }
             }
             finish(&mut world, &format!("{} (seed {seed})", scenario.name));
+            copies.add(&world);
         }
         for (evidence, count) in observed_counts {
             let name = scenario.name;
@@ -137,6 +140,7 @@
             );
         }
     }
+    copies.assert_observed();
 }
 
 /// Cancellations must be confirmed during a fault, without waiting for its end, if the state of their tasks
--- a/crates/simulator/tests/faults/main.rs
+++ b/crates/simulator/tests/faults/main.rs
@@ -4,6 +4,7 @@
 //! each remaining job needs a reported state and a known reason to wait.
 
 mod combined_faults;
+mod command_copies;
 mod leaders;
 
 use std::ops::Range;
@@ -223,6 +224,7 @@
 fn finish(world: &mut World, name: &str) {
     world.run_until(FAULTS_END.max(world.now));
     world.network.heartbeat_copies = None;
+    world.network.command_copies = None;
     world.network.held_commands = None;
     world.network.late_reply_share = 0.0;
     (
@@ -245,6 +247,10 @@
         violations.is_empty(),
         "{name}: violated invariants: {violations:?}"
     );
+    assert_eq!(
+        world.fault_counts.starts_by_copies, 0,
+        "{name}: copies of direct commands started tasks"
+    );
     assert!(
         unfinished.is_empty(),
         "{name}: unfinished jobs: {unfinished:?}"
@@ -290,6 +296,7 @@
 fn random_scenario(seed: u64) -> World {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0x5eed);
     let mut world = world(seed);
+    command_copies::inject(&mut world, seed);
     let uniform = |rng: &mut SmallRng, range: Range<u64>| rng.random_range(range);
     for index in [2, 3, 9, 0] {
         world.abort_at(uniform(&mut rng, 15_000..90_000), index);
@@ -386,10 +393,13 @@
 #[test]
 fn a_seeded_search_over_mixed_faults_finds_no_violation() {
     enable_logging_if_requested();
+    let mut copies = command_copies::CopyCount::default();
     for seed in seeds("TROUBLE", 12) {
         let mut world = random_scenario(seed);
         finish(&mut world, &format!("seed {seed}"));
+        copies.add(&world);
     }
+    copies.assert_observed();
 }
 
 /// Guards against the loss of running tasks when a shard changes holders. A controller that reaches only its
--- a/src/controller/calls.rs
+++ b/src/controller/calls.rs
@@ -31,6 +31,8 @@
     ClaimLeadership,
     /// Assigns shards to controllers, as the leader.
     AssignShards,
+    /// Raises the token of a shard that this controller holds.
+    RaiseToken,
     /// Reads a page of the snapshot of all records.
     Snapshot,
     /// Waits for changes of records.
@@ -216,6 +218,7 @@
             CallPurpose::Register => self.on_registered(&response),
             CallPurpose::ClaimLeadership => self.on_leadership_written(&response),
             CallPurpose::AssignShards => self.on_shards_assigned(),
+            CallPurpose::RaiseToken => self.on_token_raise_answered(&response),
             CallPurpose::Snapshot => self.on_snapshot(response),
             CallPurpose::Watch => self.on_watch(response),
             CallPurpose::ReadRevision => self.on_revision(response),
--- a/src/controller/candidates/eligibility.rs
+++ b/src/controller/candidates/eligibility.rs
@@ -57,11 +57,13 @@
     }
 
     /// Whether this controller may place tasks on a machine itself: it holds the machine's shard,
-    /// the worker has accepted the shard's fencing token, and the machine is in service.
+    /// the worker has accepted a fencing token of its tenure, and the machine is in service.
     pub(in crate::controller) fn is_schedulable_locally(&self, machine: &Machine) -> bool {
-        self.token_for(&machine.shard).is_some_and(|token| {
-            machine.worker_token.fencing_token() == token
-                && machine.last_answer.is_some_and(|(under, _)| under == token)
+        self.tenure_of(&machine.shard).is_some_and(|tenure| {
+            machine.has_joined(tenure)
+                && machine
+                    .last_answer
+                    .is_some_and(|(under, _)| under == tenure.acquired)
                 && self.is_in_service(machine)
         })
     }
@@ -70,9 +72,9 @@
     /// controller that holds the machine's shard.
     pub(in crate::controller) fn is_schedulable_by_peer(&self, machine: &Machine) -> bool {
         let leases = &self.membership.leases;
-        let holder = leases.shards.get(&machine.shard).map(|(holder, _)| holder);
+        let holder = leases.shards.get(&machine.shard);
         self.token_for(&machine.shard).is_none()
-            && holder == Some(&machine.last_contact_by)
+            && holder.is_some_and(|holder| holder.controller == machine.last_contact_by)
             && self.is_in_service(machine)
     }
 
--- a/src/controller/commits/forwarding.rs
+++ b/src/controller/commits/forwarding.rs
@@ -66,8 +66,8 @@
         self.request_changes(changes);
     }
 
-    /// Whether the records still show the task on the machine that it left, under the token of the
-    /// holder that reported the departure, and no change of the task is pending.
+    /// Whether the records still show the task on the machine that it left, under a token of
+    /// the holder that reported the departure, and no change of the task is pending.
     fn matches_records(&self, id: &JobId, departure: &TaskDeparture) -> bool {
         let Some(job) = self.jobs.get(id) else {
             return false;
@@ -80,7 +80,9 @@
             return false;
         };
         placement.attempt == Attempt(departure.attempt)
-            && self.known_token(&placement.shard) == Some(FencingToken(departure.token))
+            && self
+                .known_tenure(&placement.shard)
+                .is_some_and(|tenure| tenure.covers(FencingToken(departure.token)))
     }
 
     /// Discards pending departures of tasks that another controller has written in the meantime.
--- a/src/controller/commits/mod.rs
+++ b/src/controller/commits/mod.rs
@@ -130,7 +130,7 @@
     }
 
     /// Writes the changes of jobs that are due, as far as the in-flight limit allows.
-    pub(super) fn write_next(&mut self) {
+    pub(in crate::controller) fn write_next(&mut self) {
         let limit = self.commits.in_flight_limit();
         while self.commits.backlog.in_flight < limit
             && let Some(id) = self.commits.backlog.next(self.now)
--- a/src/controller/commits/planned_write.rs
+++ b/src/controller/commits/planned_write.rs
@@ -9,6 +9,7 @@
 use super::Controller;
 use crate::jobs::cache::{Evidence, Job, TaskChange};
 use crate::jobs::{Phase, Placement, Task};
+use crate::lease::Tenure;
 use crate::types::{Attempt, FencingToken, Resources, ShardId};
 
 /// Maximum number of pages in one transaction: with 8 KiB each they stay below 64 KiB.
@@ -228,15 +229,17 @@
         })
     }
 
-    /// A holder's evidence is valid only as long as its token is; the deletion of a machine is
-    /// final.
+    /// A holder's evidence is valid only during its tenure; the deletion of a machine is final.
     fn check_release(&self, placement: &Placement, evidence: Evidence) -> Option<AllowedChange> {
         let shard_token = match evidence {
             Evidence::Deleted => None,
-            Evidence::Holder(token) if self.known_token(&placement.shard) == Some(token) => {
-                Some((placement.shard.clone(), token))
+            Evidence::Holder(observed_under) => {
+                let tenure = self.known_tenure(&placement.shard)?;
+                if !tenure.covers(observed_under) {
+                    return None;
+                }
+                Some((placement.shard.clone(), tenure.token))
             }
-            Evidence::Holder(_) => return None,
         };
         let last_attempt = placement.attempt;
         Some(AllowedChange {
@@ -247,7 +250,13 @@
 
     /// The token under which a shard is held, by this controller or another.
     pub(super) fn known_token(&self, shard: &ShardId) -> Option<FencingToken> {
+        let tenure = self.known_tenure(shard)?;
+        Some(tenure.token)
+    }
+
+    /// The tokens under which a shard's holder, this controller or another, has held it.
+    pub(super) fn known_tenure(&self, shard: &ShardId) -> Option<Tenure> {
         let shards = &self.membership.leases.shards;
-        shards.get(shard).map(|(_, token)| *token)
+        shards.get(shard).map(|holder| holder.tenure)
     }
 }
--- a/src/controller/event.rs
+++ b/src/controller/event.rs
@@ -16,7 +16,8 @@
 
 /// A worker's answer to commands that were sent to it directly.
 pub struct CommandReply {
-    /// The worker's heartbeat after the commands; `None` if it refused them.
+    /// The worker's heartbeat after the commands, whether it carried them out or refused them; `None` if
+    /// nothing was sent, or the worker rejected the request as malformed.
     pub heartbeat: Option<Heartbeat>,
 }
 
--- a/src/controller/heartbeats/direct_commands.rs
+++ b/src/controller/heartbeats/direct_commands.rs
@@ -5,15 +5,17 @@
 use rustc_hash::FxHashSet as HashSet;
 
 use crate::controller::{CommandReply, Controller, Effect};
+use crate::lease::Tenure;
 use crate::queue::ClusterEvent;
-use crate::types::{Attempt, ExchangeId, FencingToken, MachineId, TaskId};
+use crate::types::{Attempt, ExchangeId, MachineId, TaskId};
 use crate::workers::Machine;
+use crate::workers::direct_channel::{ExchangeOutcome, ExchangeStart, starts};
 use crate::workers::wire::{Heartbeat, WorkerCommand};
 
-/// Where commands may be sent directly, and the token that fences them.
+/// Where commands may be sent directly, and the tokens that fence them.
 struct DirectTarget {
     address: SocketAddr,
-    token: FencingToken,
+    tenure: Tenure,
 }
 
 impl Controller {
@@ -22,25 +24,34 @@
         let Some(machine) = self.machines.get(machine_id) else {
             return;
         };
-        let Some(DirectTarget { address, token }) = self.direct_target(machine) else {
+        let Some(DirectTarget { address, tenure }) = self.direct_target(machine) else {
             return;
         };
-        let agent_epoch = machine.agent_epoch;
-        let mut commands = without_forgotten(self.reconciliation_for(machine, token).commands);
+        let worker_token = self.worker_token(tenure.token);
+        let mut commands = without_forgotten(self.reconciliation_for(machine, tenure).commands);
         let Some(machine) = self.machines.get_mut(machine_id) else {
             return;
         };
-        machine.direct.set_validity(token, agent_epoch);
-        machine.direct.remove_excess_starts(&mut commands);
+        let deferred = machine.direct.remove_excess_starts(&mut commands);
+        self.contact.start_counts.deferred_starts += deferred as u64;
         if commands.is_empty() || machine.direct.is_in_flight() {
             machine.direct.resend |= !commands.is_empty();
             return;
         }
         let exchange = self.contact.next_exchange();
-        machine.direct.begin(exchange, &commands);
-        let (machine_id, worker_token) = (machine_id.clone(), self.worker_token(token));
+        let agent_epoch = machine.agent_epoch;
+        let start = ExchangeStart {
+            exchange,
+            worker_token,
+            agent_epoch,
+            heartbeat_sequence: machine.heartbeat_sequence,
+        };
+        machine.direct.begin(start, &commands);
+        self.contact.start_counts.direct_starts += starts(&commands).count() as u64;
+        tracing::debug!(exchange = exchange.0, %machine_id, worker_token = worker_token.0,
+            agent_epoch = agent_epoch.0, ?commands, "direct commands sent");
         self.effects.push(Effect::DirectCommands {
-            machine_id,
+            machine_id: machine_id.clone(),
             exchange,
             address,
             worker_token,
@@ -49,20 +60,22 @@
         });
     }
 
-    /// Where to send commands directly. Only a worker that has seen this controller's token and
-    /// reported very recently qualifies, since a start that remains unanswered ties its task to the
+    /// Where to send commands directly. Only a worker that has seen a token of this controller's tenure
+    /// and reported very recently qualifies, since a start that remains unanswered ties its task to the
     /// machine.
     fn direct_target(&self, machine: &Machine) -> Option<DirectTarget> {
-        let token = self.token_for(&machine.shard)?;
+        let tenure = self.tenure_of(&machine.shard)?;
         let address = machine.address?;
-        let answered_under_token = machine.last_answer.is_some_and(|(under, _)| under == token);
-        let allowed = machine.worker_token.fencing_token() == token
+        let answered_in_tenure = machine
+            .last_answer
+            .is_some_and(|(under, _)| under == tenure.acquired);
+        let allowed = machine.has_joined(tenure)
             && self.knows_all_placements(&machine.shard)
-            && answered_under_token
+            && answered_in_tenure
             && machine.reachability.is_confirmed()
             && self.now.since(machine.last_contact) <= self.heartbeat_timeout()
             && self.may_answer_heartbeats();
-        allowed.then_some(DirectTarget { address, token })
+        allowed.then_some(DirectTarget { address, tenure })
     }
 
     /// Ends an exchange of direct commands. `answer` is `None` if the worker did not reply: it is
@@ -76,16 +89,15 @@
         let Some(machine) = self.machines.get_mut(machine_id) else {
             return;
         };
-        let ended = machine.direct.end(exchange);
+        let outcome = exchange_outcome(answer.as_ref());
+        let resend = machine.direct.end(exchange, outcome);
+        tracing::debug!(exchange = exchange.0, %machine_id, ?outcome, "direct exchange ended");
         let Some(answer) = answer else { return };
-        if let Some(ended) = &ended {
-            machine.direct.acknowledge(&ended.starts);
-        }
         let shard = machine.shard.clone();
-        if let (Some(heartbeat), Some(token)) = (answer.heartbeat, self.token_for(&shard)) {
-            self.apply_direct_heartbeat(machine_id, token, &heartbeat);
+        if let (Some(heartbeat), Some(tenure)) = (answer.heartbeat, self.tenure_of(&shard)) {
+            self.apply_direct_heartbeat(machine_id, tenure, &heartbeat);
         }
-        if ended.is_some_and(|ended| ended.resend) {
+        if resend == Some(true) {
             self.push_commands(machine_id);
         }
     }
@@ -95,7 +107,7 @@
     fn apply_direct_heartbeat(
         &mut self,
         machine_id: &MachineId,
-        token: FencingToken,
+        tenure: Tenure,
         heartbeat: &Heartbeat,
     ) {
         let (now, silence) = (self.now, self.heartbeat_timeout());
@@ -104,12 +116,12 @@
             return;
         };
         if heartbeat.machine_id != *machine_id
-            || heartbeat.worker_token.fencing_token() > token
+            || heartbeat.worker_token.fencing_token() > tenure.token
             || !machine.is_newer(heartbeat.agent_epoch, heartbeat.heartbeat_sequence)
         {
             return;
         }
-        let was_schedulable = machine.is_schedulable_under(token, now, silence);
+        let was_schedulable = machine.is_schedulable_in(tenure, now, silence);
         if unable_to_report {
             machine.reachability.mark_heartbeats_lost(now);
         } else {
@@ -121,20 +133,30 @@
             machine.token_confirmed = None;
         }
         machine.apply_heartbeat(heartbeat, now, &self.me);
-        machine.confirm_token(token, now);
-        if machine.worker_token.fencing_token() != token {
+        machine.confirm_token(tenure, now);
+        if !machine.has_joined(tenure) {
             return;
         }
-        machine.direct.set_validity(token, heartbeat.agent_epoch);
         if machine.is_schedulable(now, silence) && !was_schedulable {
             self.wake_parked_jobs(ClusterEvent::MachineSchedulable(machine_id.clone()));
         }
         if unable_to_report {
             self.evacuate_unable_to_report(machine_id);
         }
-        let commands = self.reconcile_machine(machine_id, token);
+        let commands = self.reconcile_machine(machine_id, tenure);
         if unable_to_report {
-            self.send_stops_only(machine_id, token, commands);
+            self.send_stops_only(machine_id, tenure.token, commands);
+        }
+    }
+}
+
+/// How an exchange ended, by the worker's answer.
+fn exchange_outcome(answer: Option<&CommandReply>) -> ExchangeOutcome {
+    match answer.map(|answer| &answer.heartbeat) {
+        None => ExchangeOutcome::Unanswered,
+        Some(None) => ExchangeOutcome::NotSent,
+        Some(Some(heartbeat)) => {
+            ExchangeOutcome::Answered(heartbeat.agent_epoch, heartbeat.heartbeat_sequence)
         }
     }
 }
--- a/src/controller/heartbeats/liveness.rs
+++ b/src/controller/heartbeats/liveness.rs
@@ -53,8 +53,8 @@
         machine_id: &MachineId,
         shard: &ShardId,
     ) -> Option<MachineSilence> {
-        let (holder, _) = self.membership.leases.shards.get(shard)?;
-        if !self.holder_receives_heartbeats(holder) {
+        let holder = self.membership.leases.shards.get(shard)?;
+        if !self.holder_receives_heartbeats(&holder.controller) {
             return None;
         }
         let moved_at = self.membership.shard_moved_at.get(shard);
--- a/src/controller/heartbeats/observation.rs
+++ b/src/controller/heartbeats/observation.rs
@@ -6,8 +6,9 @@
 use crate::controller::Controller;
 use crate::fleet::MachineTypeSpec;
 use crate::jobs::cache::{Job, TaskChange};
+use crate::lease::Tenure;
 use crate::queue::ClusterEvent;
-use crate::types::{FencingToken, JobId, MachineId, Millis, TaskId};
+use crate::types::{JobId, MachineId, Millis, TaskId};
 use crate::workers::reconcile::{Reconciliation, reconcile};
 use crate::workers::wire::{ExitCause, TaskStage, WorkerCommand};
 use crate::workers::{FETCH_TIMEOUT_FACTOR, Machine, ReportedAttempt};
@@ -23,11 +24,11 @@
         let Some(machine) = self.machines.get(machine_id) else {
             return;
         };
-        if let Some(token) = self.token_for(&machine.shard)
+        if let Some(tenure) = self.tenure_of(&machine.shard)
             && self.knows_all_placements(&machine.shard)
         {
             // The response to the next heartbeat carries the commands.
-            let _ = self.reconcile_machine(machine_id, token);
+            let _ = self.reconcile_machine(machine_id, tenure);
         }
     }
 
@@ -36,15 +37,17 @@
     pub(super) fn reconcile_machine(
         &mut self,
         machine_id: &MachineId,
-        token: FencingToken,
+        tenure: Tenure,
     ) -> Vec<WorkerCommand> {
         self.record_image_use(machine_id);
         self.checkpoint_before_termination(machine_id);
         let Some(machine) = self.machines.get(machine_id) else {
             return Vec::new();
         };
-        let outcome = self.reconciliation_for(machine, token);
+        let outcome = self.reconciliation_for(machine, tenure);
         log_releases(machine, &outcome.changes);
+        log_forgets(machine, &outcome.commands);
+        self.contact.start_counts.unplaced_attempts += u64::from(outcome.unplaced);
         self.record_task_results(machine_id, &outcome);
         self.attribute_failures(machine_id, &outcome.failures);
         if !outcome.changes.is_empty() {
@@ -55,15 +58,11 @@
     }
 
     /// The result of comparing a machine's newest heartbeat with the records; changes no state.
-    pub(super) fn reconciliation_for(
-        &self,
-        machine: &Machine,
-        token: FencingToken,
-    ) -> Reconciliation {
+    pub(super) fn reconciliation_for(&self, machine: &Machine, tenure: Tenure) -> Reconciliation {
         let gang_may_be_fetching = |job: &Job| self.gang_may_be_fetching(job);
         reconcile(
             machine,
-            token,
+            tenure,
             &self.jobs,
             &self.scheduler.stops,
             gang_may_be_fetching,
@@ -186,8 +185,18 @@
             index: *index,
         };
         let reported = machine.reported.of_task(&task);
-        let machine_id = &machine.machine_id;
-        tracing::debug!(%task, attempt = attempt.0, %machine_id, ?reported, "task released by a heartbeat");
+        let (machine_id, shown) = (&machine.machine_id, machine.worker_token.0);
+        tracing::debug!(%task, attempt = attempt.0, %machine_id, shown, ?reported, "task released by a heartbeat");
+    }
+}
+
+/// Logs each attempt that the worker is told to forget.
+fn log_forgets(machine: &Machine, commands: &[WorkerCommand]) {
+    let (machine_id, shown) = (&machine.machine_id, machine.worker_token.0);
+    for command in commands {
+        if let WorkerCommand::Forget { task, attempt } = command {
+            tracing::debug!(%task, attempt = attempt.0, %machine_id, shown, "forget requested");
+        }
     }
 }
 
--- a/src/controller/heartbeats/sweep.rs
+++ b/src/controller/heartbeats/sweep.rs
@@ -38,6 +38,8 @@
         self.expire_nominations();
         self.forget_finished_jobs();
         self.forget_silent_machines();
+        self.raise_token_if_due();
+        self.log_start_counts();
         self.update_all_queue_entries();
     }
 
@@ -48,14 +50,14 @@
         let lease = Millis::from_secs(lease_s * LEASE_EXPIRY_CLOCK_FACTOR + LEASE_EXPIRY_MARGIN_S);
         let mut changes = Vec::new();
         for machine in self.machines.values() {
-            let Some(token) = self.token_for(&machine.shard) else {
+            let Some(tenure) = self.tenure_of(&machine.shard) else {
                 continue;
             };
             // In partition mode any controller may renew the leases of this controller's workers.
-            if self.partition.mode.is_on() || !machine.lease_expired(token, lease, self.now) {
+            if self.partition.mode.is_on() || !machine.lease_expired(tenure, lease, self.now) {
                 continue;
             }
-            changes.extend(self.task_releases(machine, token));
+            changes.extend(self.task_releases(machine, tenure.token));
         }
         self.request_changes(changes);
     }
@@ -134,11 +136,24 @@
             .retain(|_, since| now.since(*since) < FORWARDED_EARLY_TTL);
     }
 
-    /// Drops machines without tasks that have been silent for [`SILENT_MACHINE_TTL`].
+    /// Drops machines without tasks that have been silent for [`SILENT_MACHINE_TTL`]. What a worker must
+    /// not be told to forget is kept, in case that it reports again.
     fn forget_silent_machines(&mut self) {
         let (now, jobs) = (self.now, &self.jobs);
+        let dropped_channels = &mut self.contact.dropped_channels;
         self.machines.retain(|machine_id, machine| {
-            now.since(machine.last_contact) < SILENT_MACHINE_TTL || jobs.is_occupied(machine_id)
+            let keep = now.since(machine.last_contact) < SILENT_MACHINE_TTL
+                || jobs.is_occupied(machine_id);
+            if !keep {
+                dropped_channels.keep(machine);
+            }
+            keep
         });
+        let (leases, me) = (&self.membership.leases, &self.me);
+        let deleted = &self.autoscaler.fleet.deleted;
+        dropped_channels.retain_unfenced(
+            |shard| leases.held_tenure(shard, me),
+            |machine_id| !deleted.contains(machine_id),
+        );
     }
 }
--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -5,12 +5,13 @@
 //! lease, register, take the leadership if it is vacant, and, as the leader, assign the shards.
 
 mod shard_assignment;
+mod token_raise;
 
 use rustc_hash::{FxHashMap as HashMap, FxHashSet as HashSet};
 
 use super::{CallPurpose, Controller};
 use crate::lease::{
-    self, ControllerRecord, LEADER_KEY, LeaderRecord, LeaseChange, Leases, OwnLease,
+    self, ControllerRecord, LEADER_KEY, LeaderRecord, LeaseChange, Leases, OwnLease, Tenure,
 };
 use crate::store::{CallClass, StoreCall, StoreResponse, Transaction};
 use crate::types::{ControllerId, FencingToken, LeaseId, Millis, Revision, ShardId};
@@ -48,6 +49,8 @@
     Lead,
     /// Assigns shards to controllers, as the leader.
     AssignShards,
+    /// Raises the token of a shard that this controller holds.
+    RaiseToken,
 }
 
 impl Membership {
@@ -242,6 +245,7 @@
                 }
             }
             LeaseChange::Shard(shard) => self.on_shard_change(shard),
+            LeaseChange::Token(shard) => self.on_token_raised(&shard),
         }
     }
 
@@ -268,7 +272,8 @@
             .shard_moved_at
             .insert(shard.clone(), self.now);
         if let Some(token) = self.token_for(&shard) {
-            tracing::info!(%shard, token = token.0, "shard acquired");
+            let applied = self.store_sync.applied.0;
+            tracing::info!(%shard, token = token.0, applied, "shard acquired");
         }
     }
 
@@ -289,6 +294,11 @@
         self.membership.leases.held_token(shard, &self.me)
     }
 
+    /// The fencing tokens under which this controller has held a shard since it acquired it.
+    pub(super) fn tenure_of(&self, shard: &ShardId) -> Option<Tenure> {
+        self.membership.leases.held_tenure(shard, &self.me)
+    }
+
     /// The revision at which this controller took the leadership, if it believes that it leads.
     pub(super) fn leading(&self) -> Option<Revision> {
         self.membership.leases.leadership_revision(&self.me)
--- a/src/controller/membership/shard_assignment.rs
+++ b/src/controller/membership/shard_assignment.rs
@@ -28,6 +28,7 @@
         let record = ShardRecord {
             holder: self.holder,
             lease_id: self.lease_id,
+            acquired: None,
         };
         txn.put_leased(key, &record, self.lease_id);
     }
@@ -70,12 +71,13 @@
     fn assignment(&self, shard: ShardId, holder: ControllerId) -> Option<Assignment> {
         let leases = &self.membership.leases;
         let current_record = leases.shards.get(&shard);
-        if current_record.is_some_and(|(current_holder, _)| *current_holder == holder) {
+        if current_record.is_some_and(|current| current.controller == holder) {
             return None;
         }
         let (record, holder_version) = leases.controllers.get(&holder)?;
         Some(Assignment {
-            shard_version: current_record.map_or(Revision(0), |(_, token)| Revision(token.0)),
+            shard_version: current_record
+                .map_or(Revision(0), |current| Revision(current.tenure.token.0)),
             shard,
             holder,
             holder_version: *holder_version,
--- a/src/controller/peer_messages/incoming_status.rs
+++ b/src/controller/peer_messages/incoming_status.rs
@@ -85,18 +85,20 @@
         let now = self.now;
         let shards_per_zone = self.settings.operator.shards_per_zone;
         let machine_id = MachineId::from(description.machine_id);
+        let dropped_channels = &mut self.contact.dropped_channels;
         let machine = self.machines.entry(machine_id.clone()).or_insert_with(|| {
             let zone = Zone::from(description.zone);
             let shard = shard_of(&machine_id, &zone, shards_per_zone);
             let machine_type = description.machine_type.into();
-            Machine::new(
+            let machine = Machine::new(
                 machine_id,
                 machine_type,
                 zone,
                 description.spot,
                 shard,
                 from.clone(),
-            )
+            );
+            dropped_channels.restore(machine)
         });
         let token = self.membership.leases.held_token(&machine.shard, &self.me);
         if token.is_some() {
--- a/src/controller/peer_messages/outgoing_status.rs
+++ b/src/controller/peer_messages/outgoing_status.rs
@@ -72,7 +72,7 @@
         let held = leases
             .shards
             .iter()
-            .filter(|(_, (holder, _))| *holder == self.me);
+            .filter(|(_, holder)| holder.controller == self.me);
         Status {
             lease_id: leases.lease_id().map(|lease_id| lease_id.0),
             plan_revision: report.plan_version.0,
@@ -82,7 +82,7 @@
             without_store_ms: self.without_store().0,
             receives_heartbeats: self.contact.is_current(self.now, self.heartbeat_timeout()),
             shards: held
-                .map(|(shard, (_, token))| (shard.to_string(), token.0))
+                .map(|(shard, holder)| (shard.to_string(), holder.tenure.token.0))
                 .collect(),
             machines: self
                 .reporting_machines()
@@ -93,10 +93,11 @@
         }
     }
 
-    /// Machines of this controller's shards whose worker has seen this controller's token.
+    /// Machines of this controller's shards whose worker has seen a token of this controller's tenure.
     fn reporting_machines(&self) -> impl Iterator<Item = &Machine> {
         self.machines.values().filter(|machine| {
-            self.token_for(&machine.shard) == Some(machine.worker_token.fencing_token())
+            self.tenure_of(&machine.shard)
+                .is_some_and(|tenure| machine.has_joined(tenure))
         })
     }
 
@@ -119,8 +120,8 @@
         let leases = &self.membership.leases;
         let mut descriptions = Vec::new();
         for machine in self.machines.values() {
-            let token = leases.held_token(&machine.shard, &self.me);
-            if token == Some(machine.worker_token.fencing_token())
+            let tenure = leases.held_tenure(&machine.shard, &self.me);
+            if tenure.is_some_and(|tenure| machine.has_joined(tenure))
                 && self.peers.is_description_due(machine, round)
             {
                 descriptions.push(machine_description(machine));
--- a/src/controller/quota_allocation/admission.rs
+++ b/src/controller/quota_allocation/admission.rs
@@ -11,13 +11,13 @@
     /// Whether the cache contains all placements that were made in a shard before its current
     /// holder acquired it.
     pub(in crate::controller) fn knows_all_placements(&self, shard: &ShardId) -> bool {
-        let token = self
+        let acquired = self
             .membership
             .leases
             .shards
             .get(shard)
-            .map_or(0, |(_, token)| token.0);
-        self.store_sync.applied.0 >= token
+            .map_or(0, |holder| holder.tenure.acquired.0);
+        self.store_sync.applied.0 >= acquired
     }
 
     /// The shards in which the next task of a job would exceed the allocation of its team, or of a
--- a/src/controller/quota_allocation/tests.rs
+++ b/src/controller/quota_allocation/tests.rs
@@ -122,7 +122,7 @@
         let key = crate::lease::shard_key(&shard);
         controller.apply(&key, Some(&record), Revision(40));
         assert_eq!(
-            controller.membership.leases.shards[&shard].1,
+            controller.membership.leases.shards[&shard].tenure.token,
             FencingToken(40)
         );
         controller.effects.clear();
--- a/src/controller/reachability/contact.rs
+++ b/src/controller/reachability/contact.rs
@@ -2,6 +2,8 @@
 
 use rustc_hash::FxHashMap as HashMap;
 
+use super::dropped_channels::DroppedChannels;
+use super::start_counts::StartCounts;
 use crate::types::{ExchangeId, MachineId, Millis};
 
 /// Time before a controller that released its shards a second time in a row inspects workers again;
@@ -30,6 +32,10 @@
     pub(in crate::controller) relayed_heartbeats: HashMap<MachineId, Millis>,
     /// When the last sweep over all machines began.
     pub(in crate::controller) last_sweep: Millis,
+    /// What machines that were dropped from view must not be told to forget.
+    pub(in crate::controller) dropped_channels: DroppedChannels,
+    /// Counts of starts, for the periodic log line.
+    pub(in crate::controller) start_counts: StartCounts,
     /// The newest exchange of direct commands.
     last_exchange: ExchangeId,
 }
@@ -45,6 +51,8 @@
             most_heartbeats_overdue: false,
             relayed_heartbeats: HashMap::default(),
             last_sweep: Millis(0),
+            dropped_channels: DroppedChannels::default(),
+            start_counts: StartCounts::default(),
             last_exchange: ExchangeId(0),
         }
     }
--- a/src/controller/reachability/mod.rs
+++ b/src/controller/reachability/mod.rs
@@ -5,8 +5,10 @@
 //! expires (`evacuation`). [`WorkerContact`] holds the state of heartbeats from all workers.
 
 mod contact;
+mod dropped_channels;
 mod evacuation;
 mod probes;
+mod start_counts;
 
 pub(super) use contact::WorkerContact;
 
--- a/src/controller/reachability/probes.rs
+++ b/src/controller/reachability/probes.rs
@@ -4,6 +4,7 @@
 use crate::controller::heartbeats::SILENT_MACHINE_TTL;
 use crate::controller::{Controller, Effect};
 use crate::types::{FencingToken, MachineId, Millis};
+use crate::workers::direct_channel::ExchangeStart;
 use crate::workers::wire::WorkerCommand;
 
 /// Time between probes of a machine that is silent, or that may not receive commands.
@@ -20,8 +21,9 @@
             .machines
             .values()
             .filter(|machine| {
-                let token_seen =
-                    self.token_for(&machine.shard) == Some(machine.worker_token.fencing_token());
+                let token_seen = self
+                    .tenure_of(&machine.shard)
+                    .is_some_and(|tenure| machine.has_joined(tenure));
                 let silent_for = now.since(machine.last_contact);
                 token_seen
                     && silent_for > silence
@@ -46,10 +48,12 @@
             .machines
             .values()
             .filter(|machine| {
-                let Some(token) = self.token_for(&machine.shard) else {
+                let Some(tenure) = self.tenure_of(&machine.shard) else {
                     return false;
                 };
-                let token_unseen = machine.worker_token < self.worker_token(token);
+                // A raised token reaches the worker with the next answer or command.
+                let token_unseen = machine.worker_token.fencing_token() < tenure.acquired
+                    || self.partition.mode.is_on() && !machine.worker_token.is_partitioned();
                 let probe_due = now.since(machine.direct.probed_at) >= PROBE_INTERVAL;
                 token_unseen
                     || probe_due && machine.reachability.is_live_but_unconfirmed(now, silence)
@@ -88,7 +92,13 @@
             return;
         };
         let exchange = self.contact.next_exchange();
-        machine.direct.begin_without_starts(exchange, self.now);
+        let start = ExchangeStart {
+            exchange,
+            worker_token,
+            agent_epoch: machine.agent_epoch,
+            heartbeat_sequence: machine.heartbeat_sequence,
+        };
+        machine.direct.begin_without_starts(start, self.now);
         self.effects.push(Effect::DirectCommands {
             machine_id: machine_id.clone(),
             exchange,
--- /dev/null
+++ b/src/controller/reachability/start_counts.rs
@@ -0,0 +1,45 @@
+//! Periodic log line about starts that may arrive again, and what is done about them.
+
+use crate::controller::Controller;
+use crate::types::Millis;
+
+/// Time between log lines.
+const LOG_INTERVAL: Millis = Millis(10_000);
+
+/// Counts since this process began.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(in crate::controller) struct StartCounts {
+    /// Starts that were sent directly.
+    pub(in crate::controller) direct_starts: u64,
+    /// Starts that were left to the answer to a heartbeat, since too many of the worker's were unfenced.
+    pub(in crate::controller) deferred_starts: u64,
+    /// Tokens of shards that this controller has raised.
+    pub(in crate::controller) tokens_raised: u64,
+    /// Attempts that a heartbeat showed on a machine where no record places them.
+    pub(in crate::controller) unplaced_attempts: u64,
+    logged_at: Millis,
+}
+
+impl Controller {
+    /// Logs the counts at [`LOG_INTERVAL`], with the attempts that workers must not be told to forget.
+    pub(in crate::controller) fn log_start_counts(&mut self) {
+        let counts = self.contact.start_counts;
+        if self.now.since(counts.logged_at) < LOG_INTERVAL {
+            return;
+        }
+        self.contact.start_counts.logged_at = self.now;
+        let unfenced = || {
+            let machines = self.machines.values();
+            machines.map(|machine| machine.direct.unfenced_count())
+        };
+        tracing::info!(
+            unfenced = unfenced().sum::<usize>(),
+            most_on_machine = unfenced().max().unwrap_or_default(),
+            direct_starts = counts.direct_starts,
+            deferred_starts = counts.deferred_starts,
+            tokens_raised = counts.tokens_raised,
+            unplaced_attempts = counts.unplaced_attempts,
+            "direct starts"
+        );
+    }
+}
--- a/src/controller/reachability/tests.rs
+++ b/src/controller/reachability/tests.rs
@@ -51,7 +51,7 @@
     let machine = controller.machines.get_mut(&MachineId::from(HOST)).unwrap();
     machine.reachability.confirm();
     // The commands piggybacked on the response were lost.
-    machine.direct.piggybacked_starts.clear();
+    machine.direct.piggybacked.starts.clear();
     controller.effects.clear();
     (controller, id)
 }
--- a/src/controller/zones.rs
+++ b/src/controller/zones.rs
@@ -58,7 +58,7 @@
     /// Whether this controller holds any shard.
     fn holds_shards(&self) -> bool {
         let mut holders = self.membership.leases.shards.values();
-        holders.any(|(holder, _)| *holder == self.me)
+        holders.any(|holder| holder.controller == self.me)
     }
 
     /// Leaves partition mode, to be called when the store answers again. The shards are released:
@@ -86,7 +86,7 @@
             .leases
             .shards
             .get(shard)
-            .is_some_and(|(holder, _)| self.recent_status(holder).is_some());
+            .is_some_and(|holder| self.recent_status(&holder.controller).is_some());
         let renews = self.may_answer_heartbeats()
             && may_renew_worker_lease(worker_token, cut_off, holder_in_contact);
         renews.then(|| HeartbeatResponse::Commands {
--- a/src/controller/zones/tests.rs
+++ b/src/controller/zones/tests.rs
@@ -59,7 +59,7 @@
             .leases
             .shards
             .values()
-            .filter(|(h, _)| *h == c.me)
+            .filter(|holder| holder.controller == c.me)
             .count()
     };
     assert_eq!(
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -62,6 +62,44 @@
     /// The lease of the process that holds the shard.
     #[serde(rename = "permit")]
     pub lease_id: LeaseId,
+    /// The token under which that process acquired the shard, if it has raised the token since.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub acquired: Option<FencingToken>,
+}
+
+/// The fencing tokens under which one controller process has held a shard without interruption.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tenure {
+    /// The token under which the process acquired the shard. It identifies the tenure: a worker that has seen this
+    /// token, or a higher one, obeys no earlier holder.
+    pub acquired: FencingToken,
+    /// The present token, which the holder may have raised. Commands and transactions carry it.
+    pub token: FencingToken,
+}
+
+impl Tenure {
+    /// The tenure of a holder that has not raised its token.
+    #[must_use]
+    pub fn new(token: FencingToken) -> Self {
+        let acquired = token;
+        Self { acquired, token }
+    }
+
+    /// Whether a token belongs to this tenure. No other controller held the shard between two such tokens, so what
+    /// was observed under one of them holds under the others.
+    #[must_use]
+    pub fn covers(self, token: FencingToken) -> bool {
+        (self.acquired..=self.token).contains(&token)
+    }
+}
+
+/// The holder of a shard, as its record shows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ShardHolder {
+    /// The controller that holds the shard.
+    pub controller: ControllerId,
+    /// The fencing tokens under which it holds the shard.
+    pub tenure: Tenure,
 }
 
 /// The lease of this controller.
@@ -91,8 +129,8 @@
     pub controllers: BTreeMap<ControllerId, (ControllerRecord, Revision)>,
     /// The leader, and the version of its record.
     pub leader: Option<(ControllerId, Revision)>,
-    /// The holder of each shard, and its fencing token.
-    pub shards: BTreeMap<ShardId, (ControllerId, FencingToken)>,
+    /// The holder of each shard.
+    pub shards: BTreeMap<ShardId, ShardHolder>,
     /// Leases whose controller's record was deleted or replaced, which shows that their processes have ended;
     /// oldest first.
     ended: VecDeque<LeaseId>,
@@ -122,8 +160,10 @@
     Controller(ControllerId),
     /// The leader.
     Leader,
-    /// The holder of this shard, or its fencing token.
+    /// The holder of this shard.
     Shard(ShardId),
+    /// The holder of this shard has raised its fencing token.
+    Token(ShardId),
 }
 
 /// Parses a stored record; `None` if it was deleted or is invalid.
@@ -164,11 +204,18 @@
         holder == self_id && self.lease_id() != Some(lease_id)
     }
 
+    /// The tenure of a shard, if this controller holds the shard.
+    #[must_use]
+    pub fn held_tenure(&self, shard: &ShardId, self_id: &ControllerId) -> Option<Tenure> {
+        let holder = self.shards.get(shard)?;
+        (holder.controller == *self_id).then_some(holder.tenure)
+    }
+
     /// The fencing token of a shard, if this controller holds the shard.
     #[must_use]
     pub fn held_token(&self, shard: &ShardId, self_id: &ControllerId) -> Option<FencingToken> {
-        let (holder, token) = self.shards.get(shard)?;
-        (holder == self_id).then_some(*token)
+        let tenure = self.held_tenure(shard, self_id)?;
+        Some(tenure.token)
     }
 
     /// The revision at which this controller acquired the leadership, if it is the leader.
@@ -186,9 +233,11 @@
         holder: &ControllerId,
         token: FencingToken,
     ) -> bool {
-        match self.shards.get(shard) {
-            Some((known_holder, known_token)) if *known_token < token && known_holder != holder => {
-                self.shards.insert(shard.clone(), (holder.clone(), token));
+        match self.shards.get_mut(shard) {
+            Some(known) if known.tenure.token < token && known.controller != *holder => {
+                known.controller = holder.clone();
+                // The record may show later that the holder acquired the shard under a lower token.
+                known.tenure = Tenure::new(token);
                 true
             }
             _ => false,
@@ -201,7 +250,8 @@
     pub fn drop_own_lease(&mut self, self_id: &ControllerId) {
         self.own = OwnLease::None;
         self.leader.take_if(|(leader, _)| leader == self_id);
-        self.shards.retain(|_, (holder, _)| holder != self_id);
+        self.shards
+            .retain(|_, holder| holder.controller != *self_id);
     }
 
     /// Applies a record, or its deletion if there is no `data`. Returns `None` if it is not newer than the cached
@@ -273,17 +323,35 @@
         data: Option<&str>,
         token: FencingToken,
     ) -> Option<LeaseChange> {
-        let known = self.shards.get(&shard).map(|(_, known)| *known);
-        if known.is_some_and(|known| known >= token) {
+        let known = self.shards.get(&shard).map(|known| known.tenure.token);
+        if known.is_some_and(|known| known > token) {
             return None;
         }
         let record = decode::<ShardRecord>(data)
             .filter(|record| !self.is_of_earlier_process(&record.holder, record.lease_id, self_id));
-        match record {
-            Some(record) => self.shards.insert(shard.clone(), (record.holder, token)),
+        let holder = record.map(|record| ShardHolder {
+            controller: record.holder,
+            tenure: Tenure {
+                acquired: record.acquired.unwrap_or(token),
+                token,
+            },
+        });
+        let previous = match holder.clone() {
+            Some(holder) => self.shards.insert(shard.clone(), holder),
             None => self.shards.remove(&shard),
         };
-        Some(LeaseChange::Shard(shard))
+        if known == Some(token) {
+            // Known from the holder itself, see `supersede`; the record completes its tenure.
+            return None;
+        }
+        let same_tenure = previous.zip(holder).is_some_and(|(previous, holder)| {
+            previous.controller == holder.controller && holder.tenure.covers(previous.tenure.token)
+        });
+        Some(if same_tenure {
+            LeaseChange::Token(shard)
+        } else {
+            LeaseChange::Shard(shard)
+        })
     }
 }
 
--- a/src/lease/tests.rs
+++ b/src/lease/tests.rs
@@ -66,7 +66,7 @@
             data.as_deref(),
             Revision(version),
         );
-        let held = leases.shards.get(&shard).map(|(n, _)| n.as_str());
+        let held = leases.shards.get(&shard).map(|h| h.controller.as_str());
         assert_eq!(held, expected, "at {version}");
     }
 }
@@ -213,3 +213,50 @@
         assert_eq!(found, ended, "at {version:?}");
     }
 }
+
+/// Guards against a raised token that is taken for a change of the holder, or the other way round.
+#[test]
+fn a_raised_token_continues_its_holders_tenure() {
+    let shard = ShardId::parse("a.0").unwrap();
+    let record = |holder: &str, acquired: Option<u64>| {
+        let acquired = acquired.map(FencingToken);
+        let (holder, lease_id) = (holder.into(), LeaseId(7));
+        let record = ShardRecord {
+            holder,
+            lease_id,
+            acquired,
+        };
+        serde_json::to_string(&record).unwrap()
+    };
+    let token = Some(LeaseChange::Token(shard.clone()));
+    let holder = Some(LeaseChange::Shard(shard.clone()));
+    let steps = [
+        // record, its version, the change, token under which the shard was acquired
+        (record("n1", None), 5, holder.clone(), 5),
+        (record("n1", Some(5)), 8, token.clone(), 5),
+        (record("n1", Some(5)), 8, None, 5),
+        (record("n1", Some(5)), 11, token, 5),
+        (record("n1", None), 14, holder.clone(), 14),
+        (record("n2", None), 17, holder.clone(), 17),
+        // Steps in between were not seen.
+        (record("n1", Some(20)), 24, holder, 20),
+    ];
+    let mut leases = Leases::default();
+    for (record, version, expected, acquired) in steps {
+        let (key, token) = (shard_key(&shard), FencingToken(version));
+        let change = leases.apply(&"n0".into(), &key, Some(&record), Revision(version));
+        assert_eq!(change, expected, "at {version}");
+        let tenure = Tenure {
+            acquired: FencingToken(acquired),
+            token,
+        };
+        assert_eq!(leases.shards[&shard].tenure, tenure, "at {version}");
+    }
+    // A peer's message shows the token alone; the record completes the tenure.
+    let (key, version) = (shard_key(&shard), 30);
+    assert!(leases.supersede(&shard, &"n3".into(), FencingToken(version)));
+    let raised = record("n3", Some(27));
+    let change = leases.apply(&"n0".into(), &key, Some(&raised), Revision(version));
+    assert_eq!(change, None);
+    assert_eq!(leases.shards[&shard].tenure.acquired, FencingToken(27));
+}
--- a/src/workers/client.rs
+++ b/src/workers/client.rs
@@ -45,10 +45,16 @@
         .call(Method::POST, "/do", body, RESPONSE_TIMEOUT)
         .await
         .ok()?;
-    // Status 409 or 400 means that nothing was executed, which is as definite as 200.
-    matches!(status, 200 | 400 | 409).then(|| CommandReply {
-        heartbeat: serde_json::from_slice::<Heartbeat>(&body).ok(),
-    })
+    match status {
+        // Status 409 means that nothing was executed, which is as definite as 200.
+        200 | 409 => {
+            let heartbeat = serde_json::from_slice::<Heartbeat>(&body).ok()?;
+            let heartbeat = Some(heartbeat);
+            Some(CommandReply { heartbeat })
+        }
+        400 => Some(CommandReply { heartbeat: None }),
+        _ => None,
+    }
 }
 
 /// Whether the worker at `address` responds with its state within the time limit.
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -11,6 +11,7 @@
 use super::reachability::Reachability;
 use super::reported_attempts::ReportedAttempts;
 use super::wire::{Heartbeat, TaskStatus};
+use crate::lease::Tenure;
 use crate::types::{
     AgentEpoch, ControllerId, FencingToken, Image, JobId, MachineId, MachineTypeId, Millis,
     ShardId, TaskId, WorkerToken, Zone,
@@ -36,11 +37,11 @@
     pub heartbeat_sequence: u64,
     /// The highest token that the worker had seen when it last reported to this controller.
     pub worker_token: WorkerToken,
-    /// This controller's token under which it last answered a heartbeat, and when it received that
-    /// heartbeat.
+    /// The tenure, by the token under which it began, in which this controller last answered a heartbeat,
+    /// and when it received that heartbeat.
     pub last_answer: Option<(FencingToken, Millis)>,
-    /// This controller's token that the worker has seen, and when that was first known. Until then
-    /// responses of an earlier holder may have renewed the worker's lease.
+    /// The tenure, by the token under which it began, of which the worker has seen a token, and when
+    /// that was first known. Until then responses of an earlier holder may have renewed the worker's lease.
     pub token_confirmed: Option<(FencingToken, Millis)>,
     /// When any controller last received a heartbeat that is evidence of liveness.
     pub last_contact: Millis,
@@ -135,28 +136,40 @@
         self.address = heartbeat.address.parse().ok();
         self.termination_announced = heartbeat.warning_s.is_some();
         self.reported = ReportedAttempts::from_statuses(&heartbeat.tasks);
+        self.direct
+            .observe(self.worker_token, self.agent_epoch, &self.reported);
     }
 
-    /// Records that the worker has seen this controller's token, if its last heartbeat shows that.
-    pub fn confirm_token(&mut self, token: FencingToken, now: Millis) {
-        let confirmed = self.token_confirmed.is_some_and(|(seen, _)| seen == token);
-        if self.worker_token.fencing_token() >= token && !confirmed {
-            self.token_confirmed = Some((token, now));
+    /// Whether the worker has seen a token of a tenure, and none of a later holder.
+    #[must_use]
+    pub fn has_joined(&self, tenure: Tenure) -> bool {
+        tenure.covers(self.worker_token.fencing_token())
+    }
+
+    /// Records that the worker has seen a token of this controller's tenure, if its last heartbeat shows
+    /// that.
+    pub fn confirm_token(&mut self, tenure: Tenure, now: Millis) {
+        let acquired = tenure.acquired;
+        let confirmed = self
+            .token_confirmed
+            .is_some_and(|(seen, _)| seen == acquired);
+        if self.worker_token.fencing_token() >= acquired && !confirmed {
+            self.token_confirmed = Some((acquired, now));
         }
     }
 
     /// Whether the worker's lease has expired by this controller's clock: no answer has renewed it for
-    /// longer than `lease`. Once the worker has seen this controller's token it drops the answers of
-    /// all others; when it was last answered before that is unknown.
+    /// longer than `lease`. Once the worker has seen a token of this controller's tenure it drops the
+    /// answers of all others; when it was last answered before that is unknown.
     #[must_use]
-    pub fn lease_expired(&self, token: FencingToken, lease: Millis, now: Millis) -> bool {
-        let under_token =
-            |at: Option<(FencingToken, Millis)>| at.filter(|(under, _)| *under == token);
-        let Some((_, confirmed)) = under_token(self.token_confirmed) else {
+    pub fn lease_expired(&self, tenure: Tenure, lease: Millis, now: Millis) -> bool {
+        let in_tenure =
+            |at: Option<(FencingToken, Millis)>| at.filter(|(under, _)| *under == tenure.acquired);
+        let Some((_, confirmed)) = in_tenure(self.token_confirmed) else {
             return false;
         };
-        let renewed = under_token(self.last_answer)
-            .map_or(confirmed, |(_, answered)| answered.max(confirmed));
+        let renewed =
+            in_tenure(self.last_answer).map_or(confirmed, |(_, answered)| answered.max(confirmed));
         now.since(renewed) > lease
     }
 
@@ -164,7 +177,7 @@
     /// if there were none, or the worker has begun a new agent epoch since.
     #[must_use]
     pub fn shows_piggybacked_start(&self, heartbeat: &Heartbeat) -> Option<bool> {
-        let piggybacked_starts = &self.direct.piggybacked_starts;
+        let piggybacked_starts = &self.direct.piggybacked.starts;
         if piggybacked_starts.is_empty() || heartbeat.agent_epoch != self.agent_epoch {
             return None;
         }
@@ -187,9 +200,10 @@
             && now.since(self.last_contact) <= silence
     }
 
-    /// Whether the machine [is schedulable](Self::is_schedulable) and its worker has seen the token.
+    /// Whether the machine [is schedulable](Self::is_schedulable) and its worker has seen a token of the
+    /// tenure.
     #[must_use]
-    pub fn is_schedulable_under(&self, token: FencingToken, now: Millis, silence: Millis) -> bool {
-        self.is_schedulable(now, silence) && self.worker_token.fencing_token() >= token
+    pub fn is_schedulable_in(&self, tenure: Tenure, now: Millis, silence: Millis) -> bool {
+        self.is_schedulable(now, silence) && self.worker_token.fencing_token() >= tenure.acquired
     }
 }
--- a/src/workers/reconcile.rs
+++ b/src/workers/reconcile.rs
@@ -7,7 +7,8 @@
 use super::{Machine, ReportedAttempt};
 use crate::jobs::cache::{Evidence, Job, JobCache, TaskChange};
 use crate::jobs::{Phase, Placement, Task};
-use crate::types::{Attempt, FencingToken, JobId, TaskId};
+use crate::lease::Tenure;
+use crate::types::{Attempt, JobId, TaskId};
 
 /// Tasks that the holder of their machine's shard is stopping, to preempt them or to drain the machine.
 pub type RequestedStops = HashMap<TaskId, Stop>;
@@ -33,6 +34,8 @@
     pub failures: Vec<(JobId, ExitCause)>,
     /// The number of tasks that completed successfully.
     pub successes: u32,
+    /// The number of attempts on the machine that no record places there.
+    pub unplaced: u32,
 }
 
 /// With this many commands an answer stays well below 64 KiB; the remaining commands follow with the next
@@ -41,24 +44,24 @@
 /// Seconds that a task gets beyond the duration of its checkpoint before it is killed.
 const SAVE_GRACE_MARGIN_S: f64 = 1.0;
 
-/// Reconciles the newest heartbeat in `machine` with the job records. `token` is the token under which this
-/// controller holds the machine's shard: a heartbeat whose worker had not seen it yet proves nothing, since
-/// an earlier holder's start may follow, and has no effect. `gang_may_be_fetching` tells whether other tasks
+/// Reconciles the newest heartbeat in `machine` with the job records. `tenure` has the tokens under which this
+/// controller holds the machine's shard: a heartbeat whose worker had not seen any of them yet proves nothing,
+/// since an earlier holder's start may follow, and has no effect. `gang_may_be_fetching` tells whether other tasks
 /// of a gang may still be fetching its image.
 #[must_use]
 pub fn reconcile(
     machine: &Machine,
-    token: FencingToken,
+    tenure: Tenure,
     jobs: &JobCache,
     stops: &RequestedStops,
     gang_may_be_fetching: impl Fn(&Job) -> bool,
 ) -> Reconciliation {
-    if machine.worker_token.fencing_token() < token {
+    if machine.worker_token.fencing_token() < tenure.acquired {
         return Reconciliation::default();
     }
     let mut reconciler = Reconciler {
         machine,
-        token,
+        tenure,
         jobs,
         stops,
         gang_may_be_fetching,
@@ -73,7 +76,7 @@
 /// One reconciliation of a heartbeat with the records.
 struct Reconciler<'a, GangMayBeFetching> {
     machine: &'a Machine,
-    token: FencingToken,
+    tenure: Tenure,
     jobs: &'a JobCache,
     stops: &'a RequestedStops,
     gang_may_be_fetching: GangMayBeFetching,
@@ -119,7 +122,7 @@
         let cause = reported.cause.unwrap_or(ExitCause::Error);
         let start = (task.clone(), attempt);
         if cause == ExitCause::GangTimeout
-            && self.machine.direct.piggybacked_starts.contains(&start)
+            && self.machine.direct.piggybacked.starts.contains(&start)
         {
             // The worker may already have a command to start this attempt again. A response to direct
             // commands may have been written before that command arrived, so it is no evidence.
@@ -189,10 +192,15 @@
     fn discard_outdated_attempt(&mut self, reported: &ReportedAttempt) {
         let (task, attempt) = (&reported.task, reported.attempt);
         if !reported.has_exited() {
+            self.outcome.unplaced += 1;
             self.kill(task, attempt);
         } else if !self.machine.direct.may_still_start(task, attempt) {
-            // A start that is still in flight would run a forgotten attempt again.
             self.forget(task, attempt);
+        } else {
+            // A start that may arrive, for the first time or again, would run a forgotten attempt.
+            let machine_id = &self.machine.machine_id;
+            let unfenced = self.machine.direct.is_unfenced(task, attempt);
+            tracing::debug!(%task, attempt = attempt.0, %machine_id, unfenced, "forget withheld");
         }
     }
 
@@ -232,9 +240,9 @@
         } else if !self.machine.direct.may_still_start(task, attempt) {
             // No start is in flight, so the task is absent. A worker has one heartbeat in flight, so its
             // next heartbeat proves whether a start in the last answer was executed; a start sent
-            // directly may still arrive until the worker responds to it.
+            // directly may arrive, even again, until the worker has seen a higher token.
             self.release_if_absent(task, attempt);
-        } else if self.machine.direct.is_unacknowledged(task, attempt) {
+        } else if self.machine.direct.is_unfenced(task, attempt) {
             self.cancel_late_start(task, attempt);
         }
     }
@@ -283,7 +291,7 @@
     fn release(&self, attempt: Attempt) -> TaskChange {
         TaskChange::Release {
             attempt,
-            evidence: Evidence::Holder(self.token),
+            evidence: Evidence::Holder(self.tenure.token),
         }
     }
 
--- a/src/workers/reconcile/tests.rs
+++ b/src/workers/reconcile/tests.rs
@@ -2,8 +2,9 @@
 use crate::jobs::api::{parse, tests::body};
 use crate::jobs::record::{JobRecord, encode_page, job_key, page_key};
 use crate::jobs::{JobKind, JobSpec};
-use crate::types::{AgentEpoch, Millis, Revision, ShardId, WorkerToken};
+use crate::types::{AgentEpoch, ExchangeId, FencingToken, Millis, Revision, ShardId, WorkerToken};
 use crate::workers::ReportedAttempts;
+use crate::workers::direct_channel::{ExchangeOutcome, ExchangeStart};
 
 /// Guards against a gang that never starts: it was placed on one machine with its image cached and fifteen
 /// without. The first task timed out at the start barrier after 30 s while the others fetched for a minute;
@@ -96,12 +97,13 @@
         if start_in_flight {
             machine
                 .direct
-                .piggybacked_starts
+                .piggybacked
+                .starts
                 .insert((task.clone(), last_attempt));
         }
         let outcome = reconcile(
             &machine,
-            FencingToken(4),
+            tenure(),
             &jobs,
             &RequestedStops::default(),
             |_| gang_may_be_fetching,
@@ -132,6 +134,25 @@
     machine
 }
 
+/// The tenure of a holder that acquired the shard under token 4.
+fn tenure() -> Tenure {
+    Tenure::new(FencingToken(4))
+}
+
+/// Sends a start to the worker directly under the token that it has seen.
+fn send_directly(machine: &mut Machine, start: (TaskId, Attempt), outcome: ExchangeOutcome) {
+    let (task, attempt) = start;
+    let exchange = ExchangeStart {
+        exchange: ExchangeId(1),
+        worker_token: machine.worker_token,
+        agent_epoch: machine.agent_epoch,
+        heartbeat_sequence: machine.heartbeat_sequence,
+    };
+    let commands = [WorkerCommand::Start { task, attempt }];
+    machine.direct.begin(exchange, &commands);
+    machine.direct.end(ExchangeId(1), outcome);
+}
+
 /// A placement on vm-1.
 fn placement(agent_epoch: u64, attempt: u64) -> Placement {
     Placement {
@@ -186,7 +207,7 @@
         }
         let outcome = reconcile(
             &machine,
-            FencingToken(4),
+            tenure(),
             &jobs,
             &RequestedStops::default(),
             |_| false,
@@ -220,24 +241,43 @@
         },
     )]);
     type SendStart = fn(&mut Machine, (TaskId, Attempt));
-    let cases: [(&str, SendStart, bool); 4] = [
+    let cases: [(&str, SendStart, bool); 6] = [
         // how the start was sent, released
         ("no start was sent", |_, _| {}, true),
         (
             "the start was sent with the answer to the last heartbeat",
-            |m, start| m.direct.piggybacked_starts.extend([start]),
+            |m, start| m.direct.piggybacked.starts.extend([start]),
             false,
         ),
         (
             "the start was sent directly, without a response",
-            |m, start| m.direct.unacknowledged_starts.extend([start]),
+            |m, start| send_directly(m, start, ExchangeOutcome::Unanswered),
+            false,
+        ),
+        (
+            "the start was sent directly and answered",
+            |m, start| {
+                let answered = ExchangeOutcome::Answered(m.agent_epoch, m.heartbeat_sequence + 1);
+                send_directly(m, start, answered);
+            },
             false,
         ),
+        (
+            "the start was sent directly under a lower token than the worker has seen",
+            |m, start| {
+                send_directly(m, start, ExchangeOutcome::Unanswered);
+                let raised = WorkerToken::connected(FencingToken(5));
+                let reported = ReportedAttempts::default();
+                m.direct.observe(raised, m.agent_epoch, &reported);
+            },
+            true,
+        ),
         (
             "the start was sent in an earlier agent epoch",
             |m, start| {
-                m.direct.piggybacked_starts.extend([start]);
-                m.direct.set_validity(FencingToken(4), AgentEpoch(2));
+                m.direct.piggybacked.starts.extend([start]);
+                let reported = ReportedAttempts::default();
+                m.direct.observe(m.worker_token, AgentEpoch(2), &reported);
             },
             true,
         ),
@@ -245,21 +285,17 @@
     for (name, send_start, released) in cases {
         let mut machine = machine_under_token();
         send_start(&mut machine, (task.clone(), attempt));
-        let outcome = reconcile(&machine, FencingToken(4), &jobs, &stops, |_| false);
+        let outcome = reconcile(&machine, tenure(), &jobs, &stops, |_| false);
         assert_eq!(!outcome.changes.is_empty(), released, "{name}");
         // Guards against a gang that waits forever for a task whose start was sent to a machine that
         // received no commands: the attempt is made known to the worker, and stopped.
-        let unacknowledged = machine.direct.is_unacknowledged(&task, attempt);
+        let unfenced = machine.direct.is_unfenced(&task, attempt);
         let verbs = outcome.commands.iter().map(|command| match command {
             WorkerCommand::Start { .. } => "start",
             WorkerCommand::Stop { .. } => "stop",
             WorkerCommand::Forget { .. } => "forget",
         });
-        let expected: &[&str] = if unacknowledged {
-            &["start", "stop"]
-        } else {
-            &[]
-        };
+        let expected: &[&str] = if unfenced { &["start", "stop"] } else { &[] };
         assert_eq!(verbs.collect::<Vec<_>>(), expected, "{name}");
     }
 }
@@ -279,7 +315,7 @@
             save: false,
         };
         let stops = RequestedStops::from_iter([(TaskId { job: id, index: 0 }, stop)]);
-        let outcome = reconcile(&machine, FencingToken(4), &jobs, &stops, |_| false);
+        let outcome = reconcile(&machine, tenure(), &jobs, &stops, |_| false);
         assert_eq!(!outcome.changes.is_empty(), released, "stop of {stopped}");
         assert_eq!(outcome.commands.is_empty(), released, "stop of {stopped}");
     }
@@ -303,10 +339,11 @@
         job: id.clone(),
         index: 0,
     };
-    machine
-        .direct
-        .unacknowledged_starts
-        .insert((task, Attempt(1)));
+    send_directly(
+        &mut machine,
+        (task, Attempt(1)),
+        ExchangeOutcome::Unanswered,
+    );
     (machine, jobs)
 }
 
@@ -337,7 +374,7 @@
         for listed in [[&*first, &*second], [&*second, &*first]] {
             let (machine, jobs) = after_two_attempts(&id, phase, &listed);
             let stops = RequestedStops::default();
-            let outcome = reconcile(&machine, FencingToken(4), &jobs, &stops, |_| false);
+            let outcome = reconcile(&machine, tenure(), &jobs, &stops, |_| false);
             let expected: Vec<WorkerCommand> = killed
                 .iter()
                 .map(|attempt| WorkerCommand::Stop {
@@ -369,7 +406,61 @@
         let status = format!(r#"{{"pick":"job-000412/0","try":1,{state}}}"#);
         let (machine, jobs) = after_two_attempts(&id, Phase::Aborting, &[&status]);
         let stops = RequestedStops::default();
-        let outcome = reconcile(&machine, FencingToken(4), &jobs, &stops, |_| false);
+        let outcome = reconcile(&machine, tenure(), &jobs, &stops, |_| false);
         assert_eq!(!outcome.changes.is_empty(), released, "attempt 1: {state}");
     }
 }
+
+/// Guards against `ran_twice` and `ran_cancelled`: a copy of a direct start that had been carried out and answered
+/// reached its worker once the exited attempt was forgotten, and started the task again.
+#[test]
+fn an_attempt_is_forgotten_only_when_copies_of_its_start_are_refused() {
+    let causes = [
+        "done",
+        "stopped",
+        "mates_gone",
+        "alone",
+        "error",
+        "no_room",
+        "in_use",
+        "no_such",
+    ];
+    let jobs = JobCache::default();
+    let start = (TaskId::parse("job-000412/0").unwrap(), Attempt(1));
+    let cases = [
+        // whether the start was sent directly, token and agent epoch of the next heartbeat, forgotten
+        (true, 4, 1, false),
+        (true, 5, 1, true),
+        (true, 4, 2, true),
+        (false, 4, 1, true),
+    ];
+    for cause in causes {
+        for (sent_directly, token, agent_epoch, forgotten) in cases {
+            let mut machine = machine_under_token();
+            if sent_directly {
+                let answered = ExchangeOutcome::Answered(AgentEpoch(1), 1);
+                send_directly(&mut machine, start.clone(), answered);
+            }
+            let worker_token = WorkerToken::connected(FencingToken(token)).0;
+            let heartbeat = format!(
+                r#"{{"host":"vm-1","rig":"g8","yard":"a","loaners":false,"shift":{agent_epoch},"tally":8,
+                "baton":{worker_token},
+                "picks":[{{"pick":"job-000412/0","try":1,"stage":"ended","cause":"{cause}"}}]}}"#
+            );
+            let heartbeat = serde_json::from_str(&heartbeat).unwrap();
+            machine.apply_heartbeat(&heartbeat, Millis(1), &"n0".into());
+            let tenure = Tenure {
+                acquired: FencingToken(4),
+                token: FencingToken(5),
+            };
+            let stops = RequestedStops::default();
+            let outcome = reconcile(&machine, tenure, &jobs, &stops, |_| false);
+            let (task, attempt) = start.clone();
+            let expected = forgotten.then_some(WorkerCommand::Forget { task, attempt });
+            let case = format!(
+                "{cause}, sent directly: {sent_directly}, then token {token} in agent epoch {agent_epoch}"
+            );
+            assert_eq!(outcome.commands, Vec::from_iter(expected), "{case}");
+        }
+    }
+}
--- a/tests/wire_format/records.rs
+++ b/tests/wire_format/records.rs
@@ -10,14 +10,15 @@
 };
 use jaspertiller::jobs::{JobKind, JobSpec, Phase, Placement, PriorityClass, Task};
 use jaspertiller::lease::{
-    ControllerRecord, LEADER_KEY, LeaderRecord, Leases, ShardRecord, controller_key, shard_key,
+    ControllerRecord, LEADER_KEY, LeaderRecord, LeaseChange, Leases, ShardRecord, Tenure,
+    controller_key, shard_key,
 };
 use jaspertiller::quota::hierarchical::{
     HierarchicalQuota, PendingTreeWrite, TREE_HEAD_KEY, TreeStatus, group_name,
 };
 use jaspertiller::quota::{AllocationRecord, QuotaAllocation, QuotaAllocations, allocation_key};
 use jaspertiller::types::{
-    AgentEpoch, Attempt, ControllerId, LeaseId, Millis, Resources, Revision, ShardId,
+    AgentEpoch, Attempt, ControllerId, FencingToken, LeaseId, Millis, Resources, Revision, ShardId,
 };
 
 use crate::Fixtures;
@@ -269,8 +270,14 @@
     let holder = ShardRecord {
         holder: controller_id("n2"),
         lease_id: LeaseId(7002),
+        acquired: None,
     };
     fixtures.check_round_trip("block", &holder);
+    let raised = ShardRecord {
+        acquired: Some(FencingToken(33)),
+        ..holder
+    };
+    fixtures.check_round_trip("block-with-raised-token", &raised);
 
     // The watch decodes the same records.
     let mut leases = Leases::default();
@@ -304,6 +311,27 @@
         .held_token(&shard("a.1"), &controller_id("n2"))
         .map(|token| token.0);
     fixtures.check("block", "fencing token", token, Some(33));
+
+    let text = fixtures.text("block-with-raised-token");
+    let change = leases.apply(&own_id, "jt/block/a.1", Some(text), Revision(40));
+    let expected = Some(LeaseChange::Token(shard("a.1")));
+    fixtures.check(
+        "block-with-raised-token",
+        "changes the token",
+        change,
+        expected,
+    );
+    let tenure = leases.held_tenure(&shard("a.1"), &controller_id("n2"));
+    let expected = Some(Tenure {
+        acquired: FencingToken(33),
+        token: FencingToken(40),
+    });
+    fixtures.check(
+        "block-with-raised-token",
+        "decoded by the watch",
+        tenure,
+        expected,
+    );
     fixtures.finish();
 }
 
