A start for an agent epoch that a reset worker may reach again needs a higher token

Cause: a machine that is dropped from view for its silence may return with its counters reset; a direct start that it never answered was sent for an agent epoch that it may reach once more under the same token.

Change: such a start makes the shard's token due to be raised, as an answered start does that the worker lists no more.

--- a/src/workers/direct_channel.rs
+++ b/src/workers/direct_channel.rs
@@ -152,16 +152,24 @@
             piggybacked.starts.clear();
         }
         self.exposed_under.take_if(|exposed| *exposed < shown);
-        // The worker lists what it started until it is told to forget it, which it is not.
-        let lost = self
-            .unfenced_starts
-            .iter()
-            .find(|((task, attempt), start)| {
-                start.answered && reported.get(task, *attempt).is_none()
-            });
-        if let Some((_, start)) = lost {
-            self.exposed_under = self.exposed_under.max(Some(start.worker_token));
-        }
+        let exposed = self.starts_without_memory(agent_epoch, reported);
+        self.exposed_under = self.exposed_under.max(exposed);
+    }
+
+    /// The highest token under which a start was sent of which the worker has lost its memory: it lists what it
+    /// started until it is told to forget it, which it is not. After a reset it may reach the agent epoch of a start
+    /// again.
+    fn starts_without_memory(
+        &self,
+        agent_epoch: AgentEpoch,
+        reported: &ReportedAttempts,
+    ) -> Option<WorkerToken> {
+        let is_lost = |((task, attempt), start): &(&(TaskId, Attempt), &DirectStart)| {
+            let was_known = start.answered || start.agent_epoch > agent_epoch;
+            was_known && reported.get(task, *attempt).is_none()
+        };
+        let lost = self.unfenced_starts.iter().filter(is_lost);
+        lost.map(|(_, start)| start.worker_token).max()
     }
 
     /// Keeps what must not be forgotten while the machine is dropped from view.
--- a/src/workers/direct_channel/tests.rs
+++ b/src/workers/direct_channel/tests.rs
@@ -154,6 +154,27 @@
     }
 }
 
+/// A machine was dropped from view, and was reset before it was seen again: it may reach the agent epoch of an
+/// unanswered start once more.
+#[test]
+fn a_start_for_an_agent_epoch_that_may_come_again_must_be_fenced() {
+    for (agent_epoch, exposed) in [
+        (AgentEpoch(1), true),
+        (EPOCH, false),
+        (AgentEpoch(3), false),
+    ] {
+        let mut channel = DirectChannel::default();
+        channel.begin(exchange(1, token(4)), &[start(0, 1)]);
+        let mut channel = channel.without_exchange();
+        channel.observe(token(4), agent_epoch, &reported(&[]));
+        assert_eq!(
+            channel.is_exposed_under(token(4)),
+            exposed,
+            "{agent_epoch:?}"
+        );
+    }
+}
+
 /// Guards against heartbeats that grow without end: each direct start leaves an attempt that is listed for as long as
 /// the token and the agent epoch stay the same.
 #[test]
