Simulated sizes report direct starts and the attempts that are kept for them

Cause: what the fence costs a fleet could be read from the log only, and sizes ran for ten minutes at most.

--- a/crates/simulator/src/cli.rs
+++ b/crates/simulator/src/cli.rs
@@ -154,7 +154,7 @@
     #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..=1_000))]
     pub(crate) teams: u64,
     /// Virtual seconds to simulate, starting from an empty fleet
-    #[arg(long, default_value_t = 120, value_parser = clap::value_parser!(u64).range(20..=600))]
+    #[arg(long, default_value_t = 120, value_parser = clap::value_parser!(u64).range(20..=3_600))]
     pub(crate) seconds: u64,
     #[arg(long, default_value_t = 1)]
     pub(crate) seed: u64,
--- a/crates/simulator/src/slope_report.rs
+++ b/crates/simulator/src/slope_report.rs
@@ -152,6 +152,9 @@
     for (name, count) in &controller.work {
         writeln!(text, "{prefix},looked at,{name},{count},,")?;
     }
+    for (name, count) in &controller.starts {
+        writeln!(text, "{prefix},starts,{name},{count},,")?;
+    }
     for (kind, handling) in &controller.meter.handling {
         let (events, micros) = (handling.events, handling.time.as_micros());
         writeln!(text, "{prefix},handled,{kind},{events},,{micros}")?;
--- a/crates/simulator/src/slopes.rs
+++ b/crates/simulator/src/slopes.rs
@@ -110,6 +110,8 @@
     pub machines: usize,
     /// Message and event counters.
     pub meter: NodeMeter,
+    /// Counts of starts and of attempts that must not be forgotten: name and count.
+    pub starts: Vec<(&'static str, u64)>,
     /// Work counters of the controller: name and count.
     pub work: Vec<(&'static str, u64)>,
     /// Cores of the simulating machine that the controller would use in real time, on average.
@@ -235,6 +237,7 @@
             leads: controller.is_leading(),
             machines: controller.machines_held(),
             work: controller.work_counters().rows().to_vec(),
+            starts: controller.direct_start_rows().to_vec(),
             cores: meter.busy().as_secs_f64() / Duration::from_secs(size.seconds).as_secs_f64(),
             meter,
         })
--- a/src/controller/reachability/start_counts.rs
+++ b/src/controller/reachability/start_counts.rs
@@ -28,13 +28,10 @@
             return;
         }
         self.contact.start_counts.logged_at = self.now;
-        let unfenced = || {
-            let machines = self.machines.values();
-            machines.map(|machine| machine.direct.unfenced_count())
-        };
+        let (unfenced, most_on_machine) = self.unfenced_starts();
         tracing::info!(
-            unfenced = unfenced().sum::<usize>(),
-            most_on_machine = unfenced().max().unwrap_or_default(),
+            unfenced,
+            most_on_machine,
             direct_starts = counts.direct_starts,
             deferred_starts = counts.deferred_starts,
             tokens_raised = counts.tokens_raised,
@@ -42,4 +39,26 @@
             "direct starts"
         );
     }
+
+    /// The attempts that workers must not be told to forget: their number, and the most of one worker.
+    fn unfenced_starts(&self) -> (u64, u64) {
+        let machines = self.machines.values();
+        let counts = machines.map(|machine| machine.direct.unfenced_count() as u64);
+        counts.fold((0, 0), |(sum, most), count| (sum + count, most.max(count)))
+    }
+
+    /// The counts with their names, for tables and tests.
+    #[must_use]
+    pub fn direct_start_rows(&self) -> [(&'static str, u64); 6] {
+        let counts = &self.contact.start_counts;
+        let (unfenced, most_on_machine) = self.unfenced_starts();
+        [
+            ("direct starts", counts.direct_starts),
+            ("deferred starts", counts.deferred_starts),
+            ("tokens raised", counts.tokens_raised),
+            ("unplaced attempts", counts.unplaced_attempts),
+            ("unfenced starts", unfenced),
+            ("most unfenced starts of a machine", most_on_machine),
+        ]
+    }
 }
