A worker whose counters were reset is shown a raised token at once

Cause: a worker that is back with its counters reset obeys copies of any token until it has seen a higher one. The raise waited for the next pass over the machines, and the worker for its next heartbeat.

Change: the reply that shows the reset makes the holder raise the token at once, and the raised token is sent to that worker as soon as it is committed.

--- a/crates/simulator/tests/faults/command_copies.rs
+++ b/crates/simulator/tests/faults/command_copies.rs
@@ -269,11 +269,14 @@
                 self.world.machines.reboot(&machine_id, true, Millis(now));
                 // Until it has seen a higher token than before the reset, it obeys every copy.
                 let sent_under = self.started_by.worker_token;
+                let reset_at = self.world.now;
                 wait(&mut self.world, "a raised token", |world| {
                     let machine = world.machines.by_id.get(&machine_id)?;
                     (machine.worker_token > sent_under || machine.stopped_at.is_some())
                         .then_some(())
                 });
+                let exposed_for = self.world.now - reset_at;
+                println!("{cause:?}: obeyed copies for {exposed_for} ms after the reset");
             }
         }
     }
--- a/src/controller/heartbeats/direct_commands.rs
+++ b/src/controller/heartbeats/direct_commands.rs
@@ -100,6 +100,10 @@
         if resend == Some(true) {
             self.push_commands(machine_id);
         }
+        let machine = self.machines.get(machine_id);
+        if machine.is_some_and(|machine| machine.direct.is_exposed()) {
+            self.raise_token_if_due();
+        }
     }
 
     /// Applies the heartbeat in a worker's reply to direct commands, if it is newer than the
--- a/src/controller/membership/token_raise.rs
+++ b/src/controller/membership/token_raise.rs
@@ -5,7 +5,7 @@
 use super::MembershipStep;
 use crate::lease::{self, ShardRecord, Tenure};
 use crate::store::{CallClass, StoreResponse, Transaction};
-use crate::types::{LeaseId, Revision, ShardId};
+use crate::types::{LeaseId, MachineId, Revision, ShardId};
 use crate::workers::Machine;
 
 /// A token is raised once this many starts to one worker were sent directly under it. The worker lists each of them,
@@ -86,6 +86,21 @@
             let (token, acquired) = (tenure.token.0, tenure.acquired.0);
             tracing::info!(%shard, token, acquired, "shard token raised");
             self.contact.start_counts.tokens_raised += 1;
+            self.show_raised_token(shard);
+        }
+    }
+
+    /// Shows a raised token at once to the workers that have lost their memory of starts; it reaches the others with
+    /// the next answer or command.
+    fn show_raised_token(&mut self, shard: &ShardId) {
+        let exposed: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|machine| machine.shard == *shard && machine.direct.is_exposed())
+            .map(|machine| machine.machine_id.clone())
+            .collect();
+        for machine_id in exposed {
+            self.probe(&machine_id);
         }
     }
 }
--- a/src/workers/direct_channel.rs
+++ b/src/workers/direct_channel.rs
@@ -137,6 +137,12 @@
             .is_some_and(|exposed| exposed >= worker_token)
     }
 
+    /// Whether the worker was found without memory of starts, and has not shown a higher token since.
+    #[must_use]
+    pub fn is_exposed(&self) -> bool {
+        self.exposed_under.is_some()
+    }
+
     /// Applies the token, the agent epoch and the attempts that the worker showed: it refuses starts that were sent
     /// under a lower token or for an earlier agent epoch, whenever they arrive.
     pub fn observe(
