--- a/crates/simulator/src/sim/queries.rs
+++ b/crates/simulator/src/sim/queries.rs
@@ -19,6 +19,14 @@
         drift.collect()
     }
 
+    /// How many tokens of shards the controllers that run have raised since they started.
+    pub fn tokens_raised(&self) -> u64 {
+        let controllers = self.controllers.iter().flatten();
+        controllers
+            .map(|controller| controller.start_counts().tokens_raised)
+            .sum()
+    }
+
     /// Jobs of the users that are neither over nor allocated to a machine, and that were never accepted or wait
     /// without a reason that a controller can name. Each entry names the job and what is wrong.
     pub fn unaccounted_jobs(&self) -> Vec<String> {
--- a/src/controller/membership/token_raise.rs
+++ b/src/controller/membership/token_raise.rs
@@ -8,10 +8,6 @@
 use crate::types::{LeaseId, MachineId, Revision, ShardId};
 use crate::workers::Machine;
 
-/// A token is raised once this many starts to one worker were sent directly under it. The worker lists each of them,
-/// with about 60 bytes, in every heartbeat until then.
-const MAX_STARTS_PER_TOKEN: usize = 64;
-
 impl Controller {
     /// Raises the token of one shard, if that is due for any that this controller holds. Tokens are raised one at a
     /// time, so that the shards' workers do not all report the change at once.
@@ -37,10 +33,11 @@
 
     /// The shard whose token has the most direct starts to one worker, if that is enough to raise it.
     fn shard_with_due_token(&self) -> Option<(ShardId, Tenure)> {
+        let limit = self.settings.operator.starts_per_token as usize;
         let due = self.machines.values().filter_map(|machine| {
             let tenure = self.tenure_of(&machine.shard)?;
             let starts = self.starts_to_fence(machine, tenure);
-            (starts >= MAX_STARTS_PER_TOKEN).then_some((starts, machine, tenure))
+            (starts >= limit).then_some((starts, machine, tenure))
         });
         let (_, machine, tenure) = due.max_by_key(|(starts, ..)| *starts)?;
         Some((machine.shard.clone(), tenure))
@@ -53,9 +50,6 @@
         if machine.direct.is_exposed_under(worker_token) {
             return usize::MAX;
         }
-        if machine.direct.unfenced_count() < MAX_STARTS_PER_TOKEN {
-            return 0;
-        }
         machine.direct.unfenced_under(worker_token)
     }
 
--- a/src/controller/membership/token_raise/tests.rs
+++ b/src/controller/membership/token_raise/tests.rs
@@ -5,6 +5,7 @@
 use crate::jobs::cache::{Evidence, TaskChange};
 use crate::jobs::record::{encode_page, page_key};
 use crate::jobs::{JobKind, Task};
+use crate::settings::OperatorSettings;
 use crate::store::{Mutation, StoreCall};
 use crate::types::{
     Attempt, ExchangeId, FencingToken, JobId, MachineId, Millis, TaskId, WorkerToken,
@@ -65,7 +66,7 @@
 /// Guards against lists of attempts that grow for as long as a controller holds a shard.
 #[test]
 fn a_token_is_raised_before_a_worker_lists_too_many_attempts() {
-    let limit = MAX_STARTS_PER_TOKEN as u32;
+    let limit = OperatorSettings::default().starts_per_token;
     type Change = fn(&mut Controller);
     let cases: [(u32, Change, bool); 6] = [
         // starts, change of the controller, raised
@@ -117,7 +118,7 @@
 /// Guards against work that stops for a moment, or evidence that is dropped, when a token is raised.
 #[test]
 fn a_raised_token_changes_nothing_but_the_fence() {
-    let mut controller = controller_with_starts(MAX_STARTS_PER_TOKEN as u32);
+    let mut controller = controller_with_starts(OperatorSettings::default().starts_per_token);
     let shard = ShardId::parse("a.0").unwrap();
     let machine_id = MachineId::from("vm-a");
     let machine = controller.machines.get_mut(&machine_id).unwrap();
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -47,6 +47,7 @@
 use membership::Membership;
 use peer_messages::Peers;
 use quota_allocation::Quota;
+pub use reachability::StartCounts;
 use reachability::WorkerContact;
 use scheduler::Scheduler;
 use store_sync::StoreSync;
--- a/src/controller/reachability/mod.rs
+++ b/src/controller/reachability/mod.rs
@@ -11,6 +11,7 @@
 mod start_counts;
 
 pub(super) use contact::WorkerContact;
+pub use start_counts::StartCounts;
 
 #[cfg(test)]
 mod tests;
--- a/src/controller/reachability/start_counts.rs
+++ b/src/controller/reachability/start_counts.rs
@@ -8,15 +8,15 @@
 
 /// Counts since this process began.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(in crate::controller) struct StartCounts {
+pub struct StartCounts {
     /// Starts that were sent directly.
-    pub(in crate::controller) direct_starts: u64,
+    pub direct_starts: u64,
     /// Starts that were left to the answer to a heartbeat, since too many of the worker's were unfenced.
-    pub(in crate::controller) deferred_starts: u64,
+    pub deferred_starts: u64,
     /// Tokens of shards that this controller has raised.
-    pub(in crate::controller) tokens_raised: u64,
+    pub tokens_raised: u64,
     /// Attempts that a heartbeat showed on a machine where no record places them.
-    pub(in crate::controller) unplaced_attempts: u64,
+    pub unplaced_attempts: u64,
     logged_at: Millis,
 }
 
@@ -47,7 +47,13 @@
         counts.fold((0, 0), |(sum, most), count| (sum + count, most.max(count)))
     }
 
-    /// The counts with their names, for tables and tests.
+    /// The counts since this process began.
+    #[must_use]
+    pub fn start_counts(&self) -> StartCounts {
+        self.contact.start_counts
+    }
+
+    /// The counts with their names, and the attempts that must not be forgotten, for tables.
     #[must_use]
     pub fn direct_start_rows(&self) -> [(&'static str, u64); 6] {
         let counts = &self.contact.start_counts;
--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -6,6 +6,7 @@
 
 use super::error::{SettingsError, read_file, settings_error};
 use crate::types::Millis;
+use crate::workers::direct_channel::MAX_UNFENCED_STARTS;
 
 /// The settings that an operator may tune. All of them have defaults, so the file is optional.
 #[derive(Clone, Debug, PartialEq)]
@@ -23,6 +24,9 @@
     pub stop_before: Millis,
     /// Number of shards into which the machines of each zone are divided.
     pub shards_per_zone: u32,
+    /// A shard's token is raised once this many starts to one worker were sent directly under it. The worker lists
+    /// each of them, with about 60 bytes, in every heartbeat until then.
+    pub starts_per_token: u32,
     /// Time after which an idle machine is returned to the cloud.
     pub idle_return: Millis,
     /// How long a controller that can't reach the store keeps its workers' leases.
@@ -42,6 +46,7 @@
             lease: Millis(5_000),
             stop_before: Millis(1_500),
             shards_per_zone: 2,
+            starts_per_token: 64,
             idle_return: Millis(20_000),
             partition_lease_keep: Millis(900_000),
             partitioned_zone_hold: Millis(180_000),
@@ -106,6 +111,13 @@
     NumberKey::new(("lease", "blocks_per_zone"), (1.0, 64.0), |o, count| {
         o.shards_per_zone = count as u32;
     }),
+    NumberKey::new(
+        ("lease", "starts_per_token"),
+        (1.0, MAX_UNFENCED_STARTS as f64),
+        |o, count| {
+            o.starts_per_token = count as u32;
+        },
+    ),
     NumberKey::new(("fleet", "idle_return_s"), (0.0, 86_400.0), |o, seconds| {
         o.idle_return = Millis::from_secs(seconds);
     }),
--- a/src/settings/summary.rs
+++ b/src/settings/summary.rs
@@ -84,6 +84,7 @@
         let value = format!("{lease} s, no placing in its last {margin} s");
         write_line(out, "lease", value)?;
         write_line(out, "blocks per zone", self.shards_per_zone)?;
+        write_line(out, "starts per token", self.starts_per_token)?;
         let value = format!("after {} s", self.idle_return.secs());
         write_line(out, "idle machines return", value)
     }
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -73,6 +73,14 @@
         ("[queue]\nflush_s = 0\n", "[queue] flush_s"),
         ("[queue]\nbackoff_first_s = 20\n", "[queue] backoff_most_s"),
         ("[lease]\nlease_s = 2\n", "[lease] stop_before_s"),
+        (
+            "[lease]\nstarts_per_token = 0\n",
+            "[lease] starts_per_token",
+        ),
+        (
+            "[lease]\nstarts_per_token = 201\n",
+            "[lease] starts_per_token",
+        ),
         ("flush_s = 1\n", "[] flush_s"),
         ("[quota]\ntree =\n", "[quota] tree"),
         ("[quota]\nforest = x\n", "[quota] forest"),
