starts_per_token is 32 by default

Cause: at the target's peak of 0.64 starts a second and worker, a report every half second and 62 bytes an attempt, lists of up to 64 attempts would take 5.2 KB a second on average beside the 2.0 KB that CAPACITY.md works out: more than the 7 KB that a worker has for all control.

Change: 32, which takes 2.6 KB at that peak, for a write every 50 s a shard there (worked out).

--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -46,7 +46,7 @@
             lease: Millis(5_000),
             stop_before: Millis(1_500),
             shards_per_zone: 2,
-            starts_per_token: 64,
+            starts_per_token: 32,
             idle_return: Millis(20_000),
             partition_lease_keep: Millis(900_000),
             partitioned_zone_hold: Millis(180_000),
