Records of leases and the assignment of shards in modules of their own

Change: moved without edits: lease::records, lease::assignment, and the copies of the random searches beside the table.

--- a/crates/simulator/tests/faults/combined_faults/mod.rs
+++ b/crates/simulator/tests/faults/combined_faults/mod.rs
@@ -13,7 +13,7 @@
 use cluster_simulator::sim::{JobPlan, Refusal, World, job};
 use jaspertiller::types::{JobId, Millis};
 
-use super::{FAULTS_END, command_copies, cut_except_workers, finish, seeds};
+use super::{FAULTS_END, copy_injection, cut_except_workers, finish, seeds};
 
 /// Milliseconds at which the first fault begins; all jobs are running by then.
 const FAULT_START: u64 = 40_000;
@@ -113,12 +113,12 @@
     let groups = [holders::SCENARIOS, machines::SCENARIOS, users::SCENARIOS];
     let name_filter = std::env::var("MEETING_NAME").unwrap_or_default();
     let selected = |scenario: &&Scenario| scenario.name.contains(&name_filter);
-    let mut copies = command_copies::CopyCount::default();
+    let mut copies = copy_injection::CopyCount::default();
     for scenario in groups.into_iter().flatten().filter(selected) {
         let mut observed_counts: Vec<(&str, u64)> = Vec::new();
         for seed in seeds.clone() {
             let mut world = scenario.world(seed);
-            command_copies::inject(&mut world, seed);
+            copy_injection::inject(&mut world, seed);
             super::enable_logging_if_requested();
             for (evidence, count) in (scenario.play)(&mut world) {
                 match observed_counts
--- a/crates/simulator/tests/faults/main.rs
+++ b/crates/simulator/tests/faults/main.rs
@@ -5,6 +5,7 @@
 
 mod combined_faults;
 mod command_copies;
+mod copy_injection;
 mod leaders;
 
 use std::ops::Range;
@@ -296,7 +297,7 @@
 fn random_scenario(seed: u64) -> World {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0x5eed);
     let mut world = world(seed);
-    command_copies::inject(&mut world, seed);
+    copy_injection::inject(&mut world, seed);
     let uniform = |rng: &mut SmallRng, range: Range<u64>| rng.random_range(range);
     for index in [2, 3, 9, 0] {
         world.abort_at(uniform(&mut rng, 15_000..90_000), index);
@@ -393,7 +394,7 @@
 #[test]
 fn a_seeded_search_over_mixed_faults_finds_no_violation() {
     enable_logging_if_requested();
-    let mut copies = command_copies::CopyCount::default();
+    let mut copies = copy_injection::CopyCount::default();
     for seed in seeds("TROUBLE", 12) {
         let mut world = random_scenario(seed);
         finish(&mut world, &format!("seed {seed}"));
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -4,94 +4,19 @@
 //! attached to it, so one renewal keeps all of them and the expiry of the lease deletes all of them.
 //! [`Leases`] is the cache of these records; it does no I/O.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+mod assignment;
+mod records;
 
-use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
 
-use crate::types::{ControllerId, FencingToken, LeaseId, Millis, Revision, ShardId, Zone};
+use serde::Deserialize;
 
-/// The prefix of controllers' records; the controller's label follows.
-pub const CONTROLLER_PREFIX: &str = "jt/node/";
-/// The key of the leader's record.
-pub const LEADER_KEY: &str = "jt/lead";
-/// The prefix of shards' records; the shard follows.
-pub const SHARD_PREFIX: &str = "jt/block/";
-
-/// The key of a controller's own record.
-#[must_use]
-pub fn controller_key(controller: &ControllerId) -> String {
-    format!("{CONTROLLER_PREFIX}{controller}")
-}
-
-/// The key of a shard's record.
-#[must_use]
-pub fn shard_key(shard: &ShardId) -> String {
-    format!("{SHARD_PREFIX}{shard}")
-}
-
-/// A controller's own record.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ControllerRecord {
-    /// The lease that the record is attached to. A restarted controller has a different one.
-    #[serde(rename = "permit")]
-    pub lease_id: LeaseId,
-    /// The controller's zone.
-    pub zone: Zone,
-    /// Whether workers' heartbeats reach the controller. It holds shards without them only if no
-    /// controller receives any.
-    #[serde(rename = "hears")]
-    pub receives_heartbeats: bool,
-}
-
-/// The leader's record. It names the lease in addition to the label, since leadership belongs to a process:
-/// a restarted controller reads the record of its previous process, and must not take itself for the leader.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LeaderRecord {
-    /// The controller that leads.
-    pub leader: ControllerId,
-    /// The lease of the process that leads.
-    #[serde(rename = "permit")]
-    pub lease_id: LeaseId,
-}
-
-/// The record of a shard's holder. The revision at which it was written is the shard's fencing token.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ShardRecord {
-    /// The controller that holds the shard.
-    pub holder: ControllerId,
-    /// The lease of the process that holds the shard.
-    #[serde(rename = "permit")]
-    pub lease_id: LeaseId,
-    /// The token under which that process acquired the shard, if it has raised the token since.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub acquired: Option<FencingToken>,
-}
-
-/// The fencing tokens under which one controller process has held a shard without interruption.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Tenure {
-    /// The token under which the process acquired the shard. It identifies the tenure: a worker that has seen this
-    /// token, or a higher one, obeys no earlier holder.
-    pub acquired: FencingToken,
-    /// The present token, which the holder may have raised. Commands and transactions carry it.
-    pub token: FencingToken,
-}
-
-impl Tenure {
-    /// The tenure of a holder that has not raised its token.
-    #[must_use]
-    pub fn new(token: FencingToken) -> Self {
-        let acquired = token;
-        Self { acquired, token }
-    }
-
-    /// Whether a token belongs to this tenure. No other controller held the shard between two such tokens, so what
-    /// was observed under one of them holds under the others.
-    #[must_use]
-    pub fn covers(self, token: FencingToken) -> bool {
-        (self.acquired..=self.token).contains(&token)
-    }
-}
+use crate::types::{ControllerId, FencingToken, LeaseId, Millis, Revision, ShardId};
+pub use assignment::desired_assignment;
+pub use records::{
+    CONTROLLER_PREFIX, ControllerRecord, LEADER_KEY, LeaderRecord, SHARD_PREFIX, ShardRecord,
+    Tenure, controller_key, shard_key,
+};
 
 /// The holder of a shard, as its record shows it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -355,79 +280,5 @@
     }
 }
 
-/// The controller that should hold each shard: shards are assigned round-robin to the controllers of their zone;
-/// shards of a zone without controllers go to those that hold the fewest. The result depends on the arguments
-/// only, so every leader computes the same assignment and no shard moves without need. Controllers that receive no
-/// heartbeats hold shards only if no controller receives any.
-#[must_use]
-pub fn desired_assignment(
-    zones: &[Zone],
-    shards_per_zone: u32,
-    controllers: &BTreeMap<ControllerId, (ControllerRecord, Revision)>,
-) -> BTreeMap<ShardId, ControllerId> {
-    let eligible = eligible_holders(controllers);
-    let mut shard_counts: BTreeMap<&ControllerId, u32> =
-        eligible.iter().map(|(label, _)| (*label, 0)).collect();
-    let mut assignment = BTreeMap::new();
-    let mut remaining = Vec::new();
-    let zones: BTreeSet<&Zone> = zones.iter().collect();
-    for zone in zones {
-        let local: Vec<&ControllerId> = eligible
-            .iter()
-            .filter(|(_, record)| record.zone == *zone)
-            .map(|(label, _)| *label)
-            .collect();
-        for part in 0..shards_per_zone {
-            let zone = zone.clone();
-            let shard = ShardId { zone, index: part };
-            match local.get(part as usize % local.len().max(1)) {
-                Some(controller) => {
-                    *shard_counts.entry(controller).or_default() += 1;
-                    assignment.insert(shard, (*controller).clone());
-                }
-                None => remaining.push(shard),
-            }
-        }
-    }
-    assign_to_fewest(remaining, &mut shard_counts, &mut assignment);
-    assignment
-}
-
-/// Assigns shards one by one, each to the controller that holds the fewest at that point.
-fn assign_to_fewest(
-    shards: Vec<ShardId>,
-    shard_counts: &mut BTreeMap<&ControllerId, u32>,
-    assignment: &mut BTreeMap<ShardId, ControllerId>,
-) {
-    for shard in shards {
-        let fewest = shard_counts
-            .iter_mut()
-            .min_by_key(|(controller, count)| (**count, **controller));
-        if let Some((controller, count)) = fewest {
-            *count += 1;
-            assignment.insert(shard, (*controller).clone());
-        }
-    }
-}
-
-/// Controllers that can hold shards: those that receive heartbeats, or all if none does.
-fn eligible_holders(
-    controllers: &BTreeMap<ControllerId, (ControllerRecord, Revision)>,
-) -> Vec<(&ControllerId, &ControllerRecord)> {
-    let all = || {
-        controllers
-            .iter()
-            .map(|(label, (record, _))| (label, record))
-    };
-    let receiving: Vec<_> = all()
-        .filter(|(_, record)| record.receives_heartbeats)
-        .collect();
-    if receiving.is_empty() {
-        all().collect()
-    } else {
-        receiving
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/lease/tests.rs
+++ b/src/lease/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::types::Zone;
 
 fn controllers(
     list: &[(&str, &str, bool)],
