--- a/crates/simulator/tests/faults/command_copies.rs
+++ b/crates/simulator/tests/faults/command_copies.rs
@@ -276,8 +276,7 @@
     }
 }
 
-/// Guards against `ran_twice` and `ran_cancelled`: a copy of a direct start, carried out and answered before, reached
-/// its worker after the attempt had been forgotten.
+/// Guards against `ran_twice` and `ran_cancelled`: a copy of an answered start ran a forgotten attempt again.
 #[test]
 fn copies_of_answered_direct_commands_start_nothing() {
     use Between::*;
--- a/src/workers/direct_channel/tests.rs
+++ b/src/workers/direct_channel/tests.rs
@@ -68,8 +68,7 @@
     );
 }
 
-/// Guards against `ran_twice`: a start that was carried out and answered arrived once more, after its attempt had
-/// been forgotten.
+/// Guards against `ran_twice`: an answered start arrived again after its attempt had been forgotten.
 #[test]
 fn a_direct_start_is_unfenced_until_a_higher_token_or_a_later_agent_epoch_is_seen() {
     let answered = ExchangeOutcome::Answered(EPOCH, 6);
@@ -154,8 +153,7 @@
     }
 }
 
-/// A machine was dropped from view, and was reset before it was seen again: it may reach the agent epoch of an
-/// unanswered start once more.
+/// A machine that was reset while it was out of view may reach the agent epoch of an unanswered start again.
 #[test]
 fn a_start_for_an_agent_epoch_that_may_come_again_must_be_fenced() {
     for (agent_epoch, exposed) in [
--- a/src/workers/reconcile/tests.rs
+++ b/src/workers/reconcile/tests.rs
@@ -411,8 +411,7 @@
     }
 }
 
-/// Guards against `ran_twice` and `ran_cancelled`: a copy of a direct start that had been carried out and answered
-/// reached its worker once the exited attempt was forgotten, and started the task again.
+/// Guards against `ran_twice` and `ran_cancelled`: a copy of an answered start ran a forgotten attempt again.
 #[test]
 fn an_attempt_is_forgotten_only_when_copies_of_its_start_are_refused() {
     let causes = [
