One function begins every exchange of direct commands, and logs it

Cause: commands and probes built the same exchange and effect twice, and only the first of the two logged `direct commands sent`, so a probe, or a stop to a machine that can't report, showed its end without its beginning.

Change: begin_exchange serves both; begin_without_starts is gone. Nothing else is sent, in no other order.

--- a/src/controller/heartbeats/direct_commands.rs
+++ b/src/controller/heartbeats/direct_commands.rs
@@ -7,7 +7,7 @@
 use crate::controller::{CommandReply, Controller, Effect};
 use crate::lease::Tenure;
 use crate::queue::ClusterEvent;
-use crate::types::{Attempt, ExchangeId, MachineId, TaskId};
+use crate::types::{Attempt, ExchangeId, MachineId, TaskId, WorkerToken};
 use crate::workers::Machine;
 use crate::workers::direct_channel::{ExchangeOutcome, ExchangeStart, starts};
 use crate::workers::wire::{Heartbeat, WorkerCommand};
@@ -38,6 +38,22 @@
             machine.direct.resend |= !commands.is_empty();
             return;
         }
+        self.contact.start_counts.direct_starts += starts(&commands).count() as u64;
+        machine.direct.resend = false;
+        self.begin_exchange(machine_id, address, worker_token, commands);
+    }
+
+    /// Sends a machine of this controller's shards commands, possibly none, as a new exchange.
+    pub(in crate::controller) fn begin_exchange(
+        &mut self,
+        machine_id: &MachineId,
+        address: SocketAddr,
+        worker_token: WorkerToken,
+        commands: Vec<WorkerCommand>,
+    ) {
+        let Some(machine) = self.machines.get_mut(machine_id) else {
+            return;
+        };
         let exchange = self.contact.next_exchange();
         let agent_epoch = machine.agent_epoch;
         let start = ExchangeStart {
@@ -47,7 +63,6 @@
             heartbeat_sequence: machine.heartbeat_sequence,
         };
         machine.direct.begin(start, &commands);
-        self.contact.start_counts.direct_starts += starts(&commands).count() as u64;
         tracing::debug!(exchange = exchange.0, %machine_id, worker_token = worker_token.0,
             agent_epoch = agent_epoch.0, ?commands, "direct commands sent");
         self.effects.push(Effect::DirectCommands {
--- a/src/controller/membership/token_raise/tests.rs
+++ b/src/controller/membership/token_raise/tests.rs
@@ -96,7 +96,7 @@
                     agent_epoch: machine.agent_epoch,
                     heartbeat_sequence: 9,
                 };
-                machine.direct.begin_without_starts(probe, Millis(1));
+                machine.direct.begin(probe, &[]);
                 let reset = ExchangeOutcome::Answered(machine.agent_epoch, 2);
                 machine.direct.end(ExchangeId(2), reset);
             },
--- a/src/controller/reachability/probes.rs
+++ b/src/controller/reachability/probes.rs
@@ -1,10 +1,9 @@
 //! Probes: direct commands that carry only this controller's token. The worker's reply shows its
 //! current state, and proves that commands arrive.
 
+use crate::controller::Controller;
 use crate::controller::heartbeats::SILENT_MACHINE_TTL;
-use crate::controller::{Controller, Effect};
 use crate::types::{FencingToken, MachineId, Millis};
-use crate::workers::direct_channel::ExchangeStart;
 use crate::workers::wire::WorkerCommand;
 
 /// Time between probes of a machine that is silent, or that may not receive commands.
@@ -91,21 +90,7 @@
         let Some(address) = machine.address else {
             return;
         };
-        let exchange = self.contact.next_exchange();
-        let start = ExchangeStart {
-            exchange,
-            worker_token,
-            agent_epoch: machine.agent_epoch,
-            heartbeat_sequence: machine.heartbeat_sequence,
-        };
-        machine.direct.begin_without_starts(start, self.now);
-        self.effects.push(Effect::DirectCommands {
-            machine_id: machine_id.clone(),
-            exchange,
-            address,
-            worker_token,
-            agent_epoch: machine.agent_epoch,
-            commands,
-        });
+        machine.direct.probed_at = self.now;
+        self.begin_exchange(machine_id, address, worker_token, commands);
     }
 }
--- a/src/workers/direct_channel.rs
+++ b/src/workers/direct_channel.rs
@@ -210,9 +210,8 @@
         before - commands.len()
     }
 
-    /// Begins an exchange that sends commands.
+    /// Begins an exchange that sends commands, or none.
     pub fn begin(&mut self, start: ExchangeStart, commands: &[WorkerCommand]) {
-        self.resend = false;
         let mut new_starts = Vec::new();
         let sent = DirectStart {
             worker_token: start.worker_token,
@@ -238,13 +237,6 @@
         });
     }
 
-    /// Begins an exchange that starts nothing.
-    pub fn begin_without_starts(&mut self, start: ExchangeStart, now: Millis) {
-        let resend = self.resend;
-        self.begin(start, &[]);
-        (self.probed_at, self.resend) = (now, resend);
-    }
-
     /// Ends an exchange. Returns whether more commands became due during it; `None` for an exchange that is not in
     /// flight: it began before the machine was dropped from view and seen again, and its outcome says nothing about
     /// later exchanges.
