--- a/review/common-2/region.py
+++ b/review/common-2/region.py
@@ -743,7 +743,7 @@
         return status, answer
 
     async def submit(self, job, run_s, within_s=60.0):
-        """Submits a job as a user does; whether it was accepted."""
+        """Submits a job as a user does. True: accepted, False: refused for good, None: no such answer in time."""
         self.uploaded[job["id"]] = {**job, "runS": run_s}
         until = time.monotonic() + within_s
         while time.monotonic() < until:
@@ -753,7 +753,7 @@
             if status in (400, 422):
                 return False
             await asyncio.sleep(1.0)
-        return False
+        return None
 
     async def poll(self, job, quiet=False):
         return await self.ask("GET", f"/api/jobs/{job}", None, 2.0, quiet)
