--- a/review/8/case.py
+++ b/review/8/case.py
@@ -10,7 +10,7 @@
 from region import BROKEN, HELD, TROUBLE, NotRun, Region, job, main  # noqa: E402
 
 # A task that is started again exits with `done` at once; the machine is found lost within its lease of 24 s.
-PATIENCE_S = 80.0
+PATIENCE_S = 75.0
 ZONES = ["huye-dc", "kigali-dc"]
 RIG = {"sku": "imashini-nkuru", "vcpus": 96.0, "accelerators": 8.0, "memoryGb": 768.0, "localGb": 120.0,
        "fetchGbPerS": 0.8, "price": 21.31, "marketPrice": 6.03, "bootS": 5.0, "yards": ZONES}
@@ -32,7 +32,7 @@
 async def play(region):
     await region.prepare()
     for zone in ZONES:
-        for _ in range(3):
+        for _ in range(2):
             await region.cloud.add(RIG, zone, False, 0)
     for index in range(3):
         region.start(index)
@@ -52,11 +52,12 @@
             done.set_result(time.monotonic())
 
     region.on_gang_done = on_gang_done
-    gang = job(1, lot="pickpath-train", shape="gang", rank="urgent", picks=500, vcpus=1.0, accelerators=0.0, memoryGb=4.0)
+    gang = job(1, lot="pickpath-train", shape="gang", rank="urgent", picks=500, vcpus=0.5, accelerators=0.0,
+               memoryGb=3.0)
     if not await region.submit(gang, 6.0, 5.0):
         raise NotRun("the gang was not accepted")
     try:
-        since = await asyncio.wait_for(done, 25)
+        since = await asyncio.wait_for(done, 32 if TROUBLE else 100)
     except asyncio.TimeoutError:
         raise NotRun("the gang did not run") from None
     state, answers = {}, Counter()
