Late answers restore no records that the watch has deleted

Cause: the answer to a committed transaction was applied to the cache whenever it came. A record that is not newer than the cached one changes nothing, but a deletion leaves no version behind. Here the watch had delivered the record and its deletion with the holder's lease; the late answer restored it, for each kind of record that is ever deleted.

Otherwise the cache shows the record already, or what has replaced or deleted it; what is skipped is delivered by the watch. Logged: `committed records already known` and `transaction refused` with revision and cache.

Tests: a_late_answer_restores_no_record_that_the_watch_has_deleted fails on the sources before ("jt/node/n1 after Revision(13)", left: true, right: false) and passes. A scenario ends all controllers but one within half a second with answers 300 to 600 ms late.

--- a/crates/simulator/src/sim/delivery.rs
+++ b/crates/simulator/src/sim/delivery.rs
@@ -36,6 +36,9 @@
                 reply,
             } => self.receive_store_call(sender, call, reply),
             ScheduledMessage::LateWrite(transaction) => self.apply_late_write(transaction),
+            ScheduledMessage::LateAnswer { written, revision } => {
+                self.count_late_answer(&written, revision);
+            }
             ScheduledMessage::BudgetCheck(process) => {
                 if self.is_current(process) {
                     self.send_store_calls(process.controller);
--- a/crates/simulator/src/sim/faults.rs
+++ b/crates/simulator/src/sim/faults.rs
@@ -137,6 +137,8 @@
     /// Share of transactions that get no response and are applied 2 to 12 s later, after newer transactions, from 0
     /// to 1.
     pub late_write_share: f64,
+    /// Transactions that are executed at once and answered late, before their sender times out.
+    pub late_answers: Option<RandomDelay>,
 }
 
 /// How often injected faults took effect.
@@ -146,6 +148,10 @@
     pub late_writes_committed: u64,
     /// Late transactions that the store rejected, since their conditions no longer held.
     pub late_writes_rejected: u64,
+    /// Commits whose answer came late.
+    pub late_answers: u64,
+    /// Late answers to commits that came after one of their records had been changed again or deleted.
+    pub outdated_answers: u64,
     /// Direct commands that were executed after their sender had timed out.
     pub late_commands_executed: u64,
     /// Duplicates of direct commands that workers accepted, with a start or a stop among them.
--- a/crates/simulator/src/sim/message.rs
+++ b/crates/simulator/src/sim/message.rs
@@ -4,7 +4,7 @@
 use jaspertiller::controller::Event;
 use jaspertiller::store::lanes::QueuedCall;
 use jaspertiller::store::{StoreCall, Transaction};
-use jaspertiller::types::{AgentEpoch, ExchangeId, JobId, MachineId, WorkerToken};
+use jaspertiller::types::{AgentEpoch, ExchangeId, JobId, MachineId, Revision, WorkerToken};
 use jaspertiller::workers::wire::{HeartbeatResponse, WorkerCommand};
 
 use super::command_copies::ExecutedCommands;
@@ -89,6 +89,13 @@
     },
     /// A transaction arrives late, usually after its sender timed out; the sender gets no response to it.
     LateWrite(Transaction),
+    /// A late answer to a transaction, which was committed at `revision`, arrives at its sender.
+    LateAnswer {
+        /// The keys that the transaction has put.
+        written: Vec<String>,
+        /// The revision at which it was committed.
+        revision: Revision,
+    },
     /// A controller's call budget may allow another store call.
     BudgetCheck(ProcessId),
     /// Commands arrive at a worker.
--- a/crates/simulator/src/sim/store_calls.rs
+++ b/crates/simulator/src/sim/store_calls.rs
@@ -3,7 +3,7 @@
 use jaspertiller::controller::Event;
 use jaspertiller::settings::Settings;
 use jaspertiller::store::lanes::{Lanes, NextCall};
-use jaspertiller::store::{CallClass, StoreCall, StoreResponse, Transaction};
+use jaspertiller::store::{CallClass, Mutation, StoreCall, StoreResponse, Transaction};
 use jaspertiller::types::{Millis, Revision};
 use rand::Rng;
 
@@ -36,6 +36,18 @@
     Lanes::new(state, settings.controllers(), Millis(now))
 }
 
+/// The keys that a call writes; empty if it only reads or deletes.
+fn written_keys(call: &StoreCall) -> Vec<String> {
+    let StoreCall::Transaction(transaction) = call else {
+        return Vec::new();
+    };
+    let put_key = |change: &Mutation| match change {
+        Mutation::Put { key, .. } => Some(key.clone()),
+        Mutation::Delete { .. } => None,
+    };
+    transaction.changes.iter().filter_map(put_key).collect()
+}
+
 impl World {
     /// Sends the calls that a controller's budget allows now.
     pub(super) fn send_store_calls(&mut self, controller: usize) {
@@ -148,6 +160,8 @@
             return self.throttle(sender, call, reply);
         }
         let (tag, call) = call.payload;
+        let delay = STORE_RESPONSE_DELAY + self.late_answer_delay(&call);
+        let written = written_keys(&call);
         let response = if self.is_store_down() {
             Some(match call {
                 StoreCall::Watch { .. } => StoreResponse::Unknown,
@@ -159,6 +173,12 @@
         if let Some(answer) = response
             && reply.is_expected()
         {
+            if let StoreResponse::Committed(revision) = answer
+                && delay > STORE_RESPONSE_DELAY
+            {
+                let late = ScheduledMessage::LateAnswer { written, revision };
+                self.post(self.now + delay, late);
+            }
             let event = Box::new(Event::Store {
                 tag,
                 response: answer,
@@ -167,10 +187,34 @@
                 process: sender,
                 event,
             };
-            self.post(self.now + STORE_RESPONSE_DELAY, message);
+            self.post(self.now + delay, message);
+        }
+    }
+
+    /// Draws by how much the answer to a call is late, in milliseconds; only answers to transactions are.
+    fn late_answer_delay(&mut self, call: &StoreCall) -> u64 {
+        let late = self.store_faults.late_answers.clone();
+        match late {
+            Some(late)
+                if matches!(call, StoreCall::Transaction(_))
+                    && self.rng.random_bool(late.share) =>
+            {
+                self.rng.random_range(late.delay_ms)
+            }
+            _ => 0,
         }
     }
 
+    /// Counts the late answer to a commit that wrote these keys at `revision`.
+    pub(super) fn count_late_answer(&mut self, written: &[String], revision: Revision) {
+        let is_outdated = |key: &String| {
+            let current = self.store.get(key);
+            current.is_none_or(|(_, version, _)| version != revision)
+        };
+        self.fault_counts.late_answers += 1;
+        self.fault_counts.outdated_answers += u64::from(written.iter().any(is_outdated));
+    }
+
     /// Handles a call above the store's rate limit: lease calls are refused, other calls go back to the sender's
     /// lanes.
     fn throttle(&mut self, sender: ProcessId, call: QueuedStoreCall, reply: Reply) {
--- a/crates/simulator/tests/faults/combined_faults/holders.rs
+++ b/crates/simulator/tests/faults/combined_faults/holders.rs
@@ -4,6 +4,7 @@
 
 use cluster_simulator::sim::{HeartbeatCopies, RandomDelay, Refusal, SlowStore, World};
 use jaspertiller::types::Millis;
+use rand::Rng;
 
 use super::super::{cut_except_workers, restart_repeatedly};
 use super::{
@@ -236,6 +237,11 @@
                 .cuts
                 .push(cut_except_workers(old, FAULT_START / 1_000, 50, true));
             limit_reachability_to(w, old, FAULT_START + 25_000, false);
+            // In the other runs the new leader may delete the old one's machines for missing heartbeats.
+            if w.rng.random_bool(0.5) {
+                let outage = (FAULT_START, FAULT_START + 25_000);
+                w.network.cloud_outages.push(outage);
+            }
             for index in 0..8 {
                 w.abort_at(FAULT_START + 7_000 + 2_500 * index, index as usize);
             }
--- a/crates/simulator/tests/faults/combined_faults/mod.rs
+++ b/crates/simulator/tests/faults/combined_faults/mod.rs
@@ -13,7 +13,7 @@
 use cluster_simulator::sim::{JobPlan, Refusal, World, job};
 use jaspertiller::types::{JobId, Millis};
 
-use super::{FAULTS_END, copy_injection, cut_except_workers, finish, seeds};
+use super::{FAULTS_END, cut_except_workers, finish, search, seeds};
 
 /// Milliseconds at which the first fault begins; all jobs are running by then.
 const FAULT_START: u64 = 40_000;
@@ -63,14 +63,16 @@
 
 /// Index of the leader according to the store's records.
 pub(crate) fn leader(world: &World) -> usize {
-    let (record, ..) = world
-        .store
-        .get("jt/lead")
-        .expect("the store has a leader record");
+    current_leader(world).expect("the store has a leader record")
+}
+
+/// Index of the leader according to the store's records; `None` while there is none.
+pub(crate) fn current_leader(world: &World) -> Option<usize> {
+    let (record, ..) = world.store.get("jt/lead")?;
     let record: serde_json::Value = serde_json::from_str(record).unwrap();
     let label = record["leader"].as_str().unwrap();
     let index = (0..world.controllers.len()).find(|i| Config::label(*i) == label);
-    index.expect("the recorded leader is a simulated controller")
+    Some(index.expect("the recorded leader is a simulated controller"))
 }
 
 /// Jobs with at least one task running on a machine.
@@ -113,12 +115,12 @@
     let groups = [holders::SCENARIOS, machines::SCENARIOS, users::SCENARIOS];
     let name_filter = std::env::var("MEETING_NAME").unwrap_or_default();
     let selected = |scenario: &&Scenario| scenario.name.contains(&name_filter);
-    let mut copies = copy_injection::CopyCount::default();
+    let mut observed = search::Observed::default();
     for scenario in groups.into_iter().flatten().filter(selected) {
         let mut observed_counts: Vec<(&str, u64)> = Vec::new();
         for seed in seeds.clone() {
             let mut world = scenario.world(seed);
-            copy_injection::inject(&mut world, seed);
+            search::inject(&mut world, seed);
             super::enable_logging_if_requested();
             for (evidence, count) in (scenario.play)(&mut world) {
                 match observed_counts
@@ -130,7 +132,7 @@
                 }
             }
             finish(&mut world, &format!("{} (seed {seed})", scenario.name));
-            copies.add(&world, seed);
+            observed.add(&world, seed);
         }
         for (evidence, count) in observed_counts {
             let name = scenario.name;
@@ -140,7 +142,7 @@
             );
         }
     }
-    copies.assert_observed();
+    observed.assert_sufficient();
 }
 
 /// Cancellations must be confirmed during a fault, without waiting for its end, if the state of their tasks
--- a/crates/simulator/tests/faults/combined_faults/pairs.rs
+++ b/crates/simulator/tests/faults/combined_faults/pairs.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::super::{
-    FAULTS_END, copy_injection, cut_except_workers, enable_logging_if_requested, finish, seeds,
+    FAULTS_END, cut_except_workers, enable_logging_if_requested, finish, search, seeds,
 };
 use super::holders::SCENARIOS;
 use super::{FAULT_START, leader, limit_reachability_to};
@@ -133,7 +133,7 @@
 fn play_fault_sequence(seed: u64) -> World {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0x3ee7);
     let mut world = SCENARIOS[rng.random_range(0..SCENARIOS.len())].world(seed);
-    copy_injection::inject(&mut world, seed);
+    search::inject(&mut world, seed);
     if rng.random_bool(0.4) {
         world.machines.run_time_spread = 0.9;
     }
@@ -173,11 +173,11 @@
 #[test]
 fn seeded_search_over_fault_sequences_finds_no_violation() {
     enable_logging_if_requested();
-    let mut copies = copy_injection::CopyCount::default();
+    let mut observed = search::Observed::default();
     for seed in seeds("PAIR", 16) {
         let mut world = play_fault_sequence(seed);
         finish(&mut world, &format!("fault sequence (seed {seed})"));
-        copies.add(&world, seed);
+        observed.add(&world, seed);
     }
-    copies.assert_observed();
+    observed.assert_sufficient();
 }
--- a/crates/simulator/tests/faults/command_copies.rs
+++ b/crates/simulator/tests/faults/command_copies.rs
@@ -14,6 +14,10 @@
 const JOB_INDEX: usize = 0;
 /// Delays after which a copy arrives, in milliseconds.
 const COPY_DELAYS: [u64; 2] = [1_000, 45_000];
+/// Distance between the seeds that a case is prepared with.
+const SEED_STEP: usize = 8;
+/// Most seeds that a case is prepared with.
+const MAX_SEEDS: usize = 6;
 /// Longest time in milliseconds until something that has to happen.
 const PATIENCE: u64 = 60_000;
 
@@ -264,6 +268,19 @@
     }
 }
 
+/// A run that is ready for the copies. A faulty machine may be returned before they arrive, depending on which
+/// controller owns the job; then the run is prepared again with another seed. `None` if all seeds end so.
+fn prepared_run(first_seed: u64, cause: ExitCause, between: Between) -> Option<Run> {
+    (first_seed..)
+        .step_by(SEED_STEP)
+        .take(MAX_SEEDS)
+        .find_map(|seed| {
+            let mut run = Run::new(seed, cause, between);
+            run.prepare(cause, between);
+            run.machine_is_up().then_some(run)
+        })
+}
+
 /// Runs until a condition holds, and returns what it yields.
 fn wait<T>(world: &mut World, what: &str, condition: impl Fn(&World) -> Option<T>) -> T {
     let until = world.now + PATIENCE;
@@ -312,13 +329,11 @@
             }
             for copied in [Copied::Start, Copied::Stop, Copied::StartAndStop] {
                 let case = format!("{cause:?}, {between:?}, {copied:?}");
-                let mut run = Run::new(seed, cause, between);
-                run.prepare(cause, between);
-                let from = run.world.now;
-                if !run.machine_is_up() {
+                let Some(mut run) = prepared_run(seed, cause, between) else {
                     failed.push(format!("{case}: the machine is gone"));
                     continue;
-                }
+                };
+                let from = run.world.now;
                 let mut started = run.deliver(copied);
                 for delay in COPY_DELAYS {
                     run.world.run_until(from + delay);
--- a/crates/simulator/tests/faults/main.rs
+++ b/crates/simulator/tests/faults/main.rs
@@ -6,12 +6,14 @@
 mod combined_faults;
 mod command_copies;
 mod copy_injection;
+mod late_answers;
 mod leaders;
+mod search;
 
 use std::ops::Range;
 
 use cluster_simulator::config::Config;
-use cluster_simulator::sim::{Cut, HeartbeatCopies, JobPlan, World, job};
+use cluster_simulator::sim::{Cut, HeartbeatCopies, JobPlan, RandomDelay, World, job};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -178,6 +180,22 @@
                 .for_each(|n| restart_repeatedly(w, n, 14_000 + 7_000 * n as u64, 3, 80));
         },
     },
+    Scenario {
+        name: "all but one controller end within half a second, repeatedly, while transactions are answered late",
+        play: |w| {
+            w.store_faults.late_answers = Some(RandomDelay {
+                share: 0.6,
+                delay_ms: 300..600,
+            });
+            for round in 0..5 {
+                let from = 14_000 + 18_000 * round;
+                let leader = combined_faults::current_leader(w).unwrap_or(0);
+                let others = (0..CONTROLLERS).filter(|n| *n != leader);
+                others.for_each(|n| w.crash(n, from + 110 * n as u64, 8_000));
+                w.run_until(from + 18_000);
+            }
+        },
+    },
     Scenario {
         name: "machines restart instantly, with and without a reset of their counters",
         play: |w| {
@@ -226,6 +244,7 @@
     world.run_until(FAULTS_END.max(world.now));
     world.network.heartbeat_copies = None;
     world.network.command_copies = None;
+    world.store_faults.late_answers = None;
     world.network.held_commands = None;
     world.network.late_reply_share = 0.0;
     (
@@ -297,7 +316,7 @@
 fn random_scenario(seed: u64) -> World {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0x5eed);
     let mut world = world(seed);
-    copy_injection::inject(&mut world, seed);
+    search::inject(&mut world, seed);
     let uniform = |rng: &mut SmallRng, range: Range<u64>| rng.random_range(range);
     for index in [2, 3, 9, 0] {
         world.abort_at(uniform(&mut rng, 15_000..90_000), index);
@@ -394,13 +413,13 @@
 #[test]
 fn a_seeded_search_over_mixed_faults_finds_no_violation() {
     enable_logging_if_requested();
-    let mut copies = copy_injection::CopyCount::default();
+    let mut observed = search::Observed::default();
     for seed in seeds("TROUBLE", 12) {
         let mut world = random_scenario(seed);
         finish(&mut world, &format!("seed {seed}"));
-        copies.add(&world, seed);
+        observed.add(&world, seed);
     }
-    copies.assert_observed();
+    observed.assert_sufficient();
 }
 
 /// Guards against the loss of running tasks when a shard changes holders. A controller that reaches only its
--- a/src/controller/calls.rs
+++ b/src/controller/calls.rs
@@ -198,12 +198,18 @@
             self.store_sync.last_response = self.now;
             self.leave_partition_mode();
         }
-        if let StoreResponse::Committed(revision) = response {
-            // The watch delivers these records again later; by then they are not newer than the
-            // cache.
-            for record in written {
-                self.apply(&record.key, record.data.as_deref(), revision);
+        match response {
+            StoreResponse::Committed(revision) => self.apply_committed(written, revision),
+            StoreResponse::Conflict(revision) => {
+                let applied = self.store_sync.applied.0;
+                tracing::debug!(
+                    ?purpose,
+                    revision = revision.0,
+                    applied,
+                    "transaction refused"
+                );
             }
+            _ => {}
         }
         self.dispatch_store_response(purpose, response);
         self.answer_cancellations();
--- a/src/controller/store_sync/apply.rs
+++ b/src/controller/store_sync/apply.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 
 use super::super::Controller;
+use super::super::calls::WrittenRecord;
 use crate::admission::shared::PLAN_KEY;
 use crate::fleet::MACHINE_TYPES_KEY;
 use crate::jobs::cache::{CommitState, RecordChange};
@@ -13,9 +14,33 @@
 use crate::types::{JobId, MachineId, Revision, ShardId};
 
 impl Controller {
+    /// Applies the records of a transaction of this controller that was committed at `revision`, so
+    /// that the cache shows them before the watch delivers them. An answer may come after the watch
+    /// has passed its revision, and the cache keeps no version of a deleted record by which an older
+    /// one could be told from a new one; such an answer brings nothing new.
+    pub(in crate::controller) fn apply_committed(
+        &mut self,
+        written: Vec<WrittenRecord>,
+        revision: Revision,
+    ) {
+        if !self.store_sync.may_miss(revision) {
+            let applied = self.store_sync.applied.0;
+            tracing::debug!(
+                revision = revision.0,
+                applied,
+                "committed records already known"
+            );
+            return;
+        }
+        for record in written {
+            self.apply(&record.key, record.data.as_deref(), revision);
+        }
+    }
+
     /// Applies the record at `key`, or its deletion if there is no `data`. A record that is not
-    /// newer than the cached one changes nothing, so transactions and watches may deliver records
-    /// in any order.
+    /// newer than the cached one changes nothing. A deletion leaves no version behind, so records
+    /// must come from a snapshot read, from the watch in its order, or by
+    /// [`Self::apply_committed`].
     pub(in crate::controller) fn apply(
         &mut self,
         key: &str,
--- a/src/controller/store_sync/apply/tests.rs
+++ b/src/controller/store_sync/apply/tests.rs
@@ -1,7 +1,10 @@
-use crate::controller::Controller;
+use serde_json::value::RawValue;
+
 use crate::controller::commits::tests::controller;
+use crate::controller::{CallPurpose, Controller};
 use crate::jobs::Task;
 use crate::jobs::api::{parse, tests::body};
+use crate::store::{CallClass, Entry, StoreResponse, Transaction, Update};
 use crate::types::Revision;
 
 /// A job's last completions and its end are written in one transaction. The cache forgot the job's team with the
@@ -56,3 +59,60 @@
         assert!(!is_parked(&controller), "{check:?}, {phase:?}");
     }
 }
+
+/// Guards against a record that is cached without end after its deletion. The answer to a transaction came after the
+/// watch had delivered the later deletion of what it had written, so the cache showed holders of shards that the store
+/// did not have, and every later assignment was refused.
+#[test]
+fn a_late_answer_restores_no_record_that_the_watch_has_deleted() {
+    type IsCached = fn(&Controller) -> bool;
+    let cases: [(&str, &str, IsCached); 5] = [
+        (
+            "jt/node/n1",
+            r#"{"permit":7,"zone":"a","hears":true}"#,
+            |c| !c.membership.leases.controllers.is_empty(),
+        ),
+        ("jt/lead", r#"{"leader":"n1","permit":7}"#, |c| {
+            c.leader().is_some()
+        }),
+        ("jt/block/a.1", r#"{"holder":"n1","permit":7}"#, |c| {
+            c.membership.leases.shards.len() > 2
+        }),
+        ("jt/task/job-1/1", r#"[{"w":[1,1]}]"#, |c| {
+            c.jobs.get(&"job-1".into()).unwrap().page_version(1) > Revision(0)
+        }),
+        ("jt/tree/3-abc/0", "[]", |c| {
+            c.quota.hierarchy.page_version("jt/tree/3-abc/0") > Revision(0)
+        }),
+    ];
+    for (key, data, is_cached) in cases {
+        for (answered_after, cached) in [(13, false), (9, true)] {
+            let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+            spec.tasks = 9;
+            let (mut controller, _) = controller(spec, vec![Task::NEVER_PLACED; 8]);
+            let mut txn = Transaction::default();
+            txn.put_json(key.into(), data.into(), None);
+            controller.transact(CallClass::Background, txn, CallPurpose::NoFollowUp);
+            let tag = *controller.calls.store.keys().max().unwrap();
+            // The transaction was committed at revision 10, and its record was deleted at 12.
+            let put = Update::Put(Entry {
+                key: key.into(),
+                data: RawValue::from_string(data.into()).unwrap(),
+                version: Revision(10),
+            });
+            let deleted = Update::Deleted {
+                key: key.into(),
+                version: Revision(12),
+            };
+            let updates = if answered_after == 13 {
+                vec![put, deleted]
+            } else {
+                vec![]
+            };
+            let revision = Revision(answered_after);
+            controller.on_watch(StoreResponse::Updates { updates, revision });
+            controller.on_store(tag, StoreResponse::Committed(Revision(10)));
+            assert_eq!(is_cached(&controller), cached, "{key} after {revision:?}");
+        }
+    }
+}
--- a/src/controller/store_sync/mod.rs
+++ b/src/controller/store_sync/mod.rs
@@ -54,6 +54,13 @@
         self.synced && self.applied >= self.snapshot_end
     }
 
+    /// Whether a record written at `revision` may still be missing in the cache. Once the watch has passed that
+    /// revision, the cache shows the record, or what has replaced or deleted it since.
+    pub(super) fn may_miss(&self, revision: Revision) -> bool {
+        // What is written during a snapshot read is read by it or delivered by the watch after it.
+        self.synced && revision > self.applied
+    }
+
     /// Whether a new snapshot read or watch may start at `now`.
     fn may_start_read(&self, now: Millis) -> bool {
         self.in_flight.is_none() && now >= self.next_read_at
