--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -81,7 +81,7 @@
     /// state.
     pub(super) fn renew_membership(&mut self) {
         if !self.store_sync.synced {
-            return self.start_snapshot_read();
+            return self.continue_snapshot_read();
         }
         if !self.membership.old_lease_ended {
             return self.end_old_lease();
--- a/src/controller/store_sync/apply/tests.rs
+++ b/src/controller/store_sync/apply/tests.rs
@@ -1,11 +1,11 @@
 use serde_json::value::RawValue;
 
 use crate::controller::commits::tests::controller;
-use crate::controller::{CallPurpose, Controller};
+use crate::controller::{CallPurpose, Controller, Effect};
 use crate::jobs::Task;
 use crate::jobs::api::{parse, tests::body};
-use crate::store::{CallClass, Entry, StoreResponse, Transaction, Update};
-use crate::types::Revision;
+use crate::store::{CallClass, Entry, StoreCall, StoreResponse, Transaction, Update};
+use crate::types::{Millis, Revision};
 
 /// A job's last completions and its end are written in one transaction. The cache forgot the job's team with the
 /// job, so no job that waited for the team's quota was woken: tasks waited for half a minute beside free machines.
@@ -116,3 +116,49 @@
         }
     }
 }
+
+/// Guards against a record that stays cached although it was deleted while a snapshot read failed and began anew: the
+/// second read did not contain it, and the watch, which began later, did not deliver its deletion.
+#[test]
+fn a_snapshot_read_continues_after_the_last_page_that_was_read() {
+    let (_, spec) = parse(body().to_string().as_bytes()).unwrap();
+    let (mut controller, _) = controller(spec, vec![Task::NEVER_PLACED; 8]);
+    controller.resync();
+    let page = |more, revision| StoreResponse::Page {
+        entries: vec![Entry {
+            key: "jt/node/n1".into(),
+            data: RawValue::from_string(r#"{"permit":7,"zone":"a","hears":true}"#.into()).unwrap(),
+            version: Revision(10),
+        }],
+        more,
+        revision: Revision(revision),
+    };
+    let steps = [
+        // answer to the page in flight, key after which the next page begins, revision that the cache reaches
+        (StoreResponse::Refused, None, 0),
+        (page(true, 20), Some("jt/node/n1"), 0),
+        (StoreResponse::Unknown, Some("jt/node/n1"), 0),
+        (StoreResponse::Refused, Some("jt/node/n1"), 0),
+        (page(false, 30), None, 20),
+    ];
+    controller.continue_snapshot_read();
+    for (answer, next_after, applied) in steps {
+        controller.effects.clear();
+        let case = format!("after {answer:?}");
+        controller.on_snapshot(answer);
+        controller.now = controller.now + Millis(1_000);
+        if !controller.store_sync.synced {
+            controller.continue_snapshot_read();
+        }
+        let after = controller.effects.iter().find_map(|effect| match effect {
+            Effect::Store {
+                call: StoreCall::List { after },
+                ..
+            } => after.as_deref(),
+            _ => None,
+        });
+        assert_eq!(after, next_after, "{case}");
+        assert_eq!(controller.store_sync.applied, Revision(applied), "{case}");
+    }
+    assert!(controller.store_sync.synced);
+}
--- a/src/controller/store_sync/mod.rs
+++ b/src/controller/store_sync/mod.rs
@@ -33,12 +33,22 @@
     pub(super) read_barrier: ReadBarrier,
     /// The read that is in flight; at most one, since a snapshot read precedes the watch.
     in_flight: Option<CacheRead>,
-    /// The revision of the first page of the snapshot read, from which the watch continues.
-    snapshot_start: Option<Revision>,
+    /// How far the snapshot read has come, if it has begun.
+    snapshot: Option<SnapshotProgress>,
     /// No snapshot read or watch starts before this time.
     next_read_at: Millis,
 }
 
+/// A snapshot read that has read its first pages. If a page can't be read, the read continues after the page before
+/// it: a read that began anew would keep cached what has been deleted meanwhile.
+#[derive(Debug)]
+struct SnapshotProgress {
+    /// The revision of the first page, from which the watch continues.
+    start: Revision,
+    /// The last key that was read.
+    last_key: String,
+}
+
 /// A call to the store that fills the cache.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CacheRead {
