Refused transactions wait for the cache; answers about an earlier lease count no more

Assignments, registrations, claims of the leadership, raised tokens, reallocations, admission plans, deletions of pages and writes of the quota tree were sent again with the same conditions, membership ten times a second, until the records changed; each counts against the store's limits.

Change: `WriteGate` stands for "one in flight, and after a refusal none before the cache has reached the revision of the refusal"; it replaces four flags and a set of steps. A refused write of a job waited in this way already.

Read on the same path: the answer to a renewal, or to a write under a lease, counted for whichever lease was held when it came.

These calls name their lease now.

Tests: a_refused_transaction_waits_until_the_cache_shows_why, a_refused_step_waits_for_the_records_that_refused_it and an_answer_about_an_earlier_lease_does_not_end_the_current_one. They name what did not exist before; with the conditions taken out all three fail (a second transaction "before the cache shows the record"; lease kept: left: false, right: true).

--- a/src/admission/shared.rs
+++ b/src/admission/shared.rs
@@ -5,6 +5,7 @@
 use admission_control::plan::{ControllerDemand, ControllerStatus, Demand, Plan, Rate};
 use rustc_hash::FxHashMap as HashMap;
 
+use crate::store::WriteGate;
 use crate::types::{ControllerId, Millis, Revision};
 
 /// The key of the plan's record.
@@ -42,8 +43,8 @@
     measured_at: Millis,
     /// The smoothed rate, in changes a second.
     write_rate: Rate,
-    /// A plan is being written.
-    pub plan_in_flight: bool,
+    /// When the next plan may be written.
+    pub plan_write: WriteGate,
     /// When this controller last wrote a plan.
     planned_at: Millis,
     /// The rate that the write budget was last set to, in changes a second.
@@ -95,17 +96,18 @@
     }
 
     /// The plan to be written now; `None` if it differs too little from the present one, if a plan
-    /// is being written, or if it is too early for another. `has_lease` tells whether a controller has
-    /// a lease.
+    /// must not be written yet, or if it is too early for another. `has_lease` tells whether a controller
+    /// has a lease. `applied`: the revision that the cache has reached.
     pub fn next_plan(
         &self,
         limit: Rate,
         controllers: impl Iterator<Item = ControllerId>,
         has_lease: impl Fn(&ControllerId) -> bool,
+        applied: Revision,
         now: Millis,
     ) -> Option<Plan> {
         let is_early = now.since(self.planned_at) < MIN_PLAN_INTERVAL;
-        if self.plan_in_flight || is_early && self.version != Revision(0) {
+        if !self.plan_write.is_open(applied) || is_early && self.version != Revision(0) {
             return None;
         }
         let demands: Vec<ControllerDemand> = controllers
@@ -134,7 +136,7 @@
 
     /// Records that this controller starts to write a plan now.
     pub fn record_plan(&mut self, now: Millis) {
-        self.plan_in_flight = true;
+        self.plan_write.begin();
         self.planned_at = now;
     }
 }
--- a/src/controller/admission_plan.rs
+++ b/src/controller/admission_plan.rs
@@ -88,7 +88,9 @@
         let has_lease =
             |controller: &ControllerId| self.membership.leases.controllers.contains_key(controller);
         let admission = &self.commits.admission;
-        let next = admission.next_plan(limit, controllers.iter().cloned(), has_lease, self.now);
+        let applied = self.store_sync.applied;
+        let labels = controllers.iter().cloned();
+        let next = admission.next_plan(limit, labels, has_lease, applied, self.now);
         let Some(plan) = next else { return };
         tracing::debug!(shares = ?plan.shares, "writing admission plan");
         let mut txn = Transaction::default();
--- a/src/controller/calls.rs
+++ b/src/controller/calls.rs
@@ -8,7 +8,7 @@
 use crate::jobs::cache::TaskChange;
 use crate::quota::ALLOCATION_KEY_PREFIX;
 use crate::store::{CallClass, Mutation, StoreCall, StoreResponse, Transaction};
-use crate::types::{JobId, Millis, ReplyId, Revision, ShardId};
+use crate::types::{JobId, LeaseId, Millis, ReplyId, Revision, ShardId};
 
 /// What a call to the key-value store is for.
 #[derive(Debug)]
@@ -20,19 +20,30 @@
     },
     /// Renews this controller's lease.
     RenewLease {
+        /// The lease.
+        lease_id: LeaseId,
         /// When the call was sent: the lease lasts from then, whenever the answer comes.
         sent_at: Millis,
     },
     /// Ends the lease of the previous process with this controller's label.
     EndOldLease,
     /// Writes this controller's own record.
-    Register,
+    Register {
+        /// The lease that the record is attached to.
+        lease_id: LeaseId,
+    },
     /// Claims the leadership.
-    ClaimLeadership,
+    ClaimLeadership {
+        /// The lease that the leader's record is attached to.
+        lease_id: LeaseId,
+    },
     /// Assigns shards to controllers, as the leader.
     AssignShards,
     /// Raises the token of a shard that this controller holds.
-    RaiseToken,
+    RaiseToken {
+        /// The lease that the shard's record is attached to.
+        lease_id: LeaseId,
+    },
     /// Reads a page of the snapshot of all records.
     Snapshot,
     /// Waits for changes of records.
@@ -219,12 +230,18 @@
     fn dispatch_store_response(&mut self, purpose: CallPurpose, response: StoreResponse) {
         match purpose {
             CallPurpose::GrantLease { sent_at } => self.on_lease_granted(sent_at, response),
-            CallPurpose::RenewLease { sent_at } => self.on_lease_renewed(sent_at, response),
+            CallPurpose::RenewLease { lease_id, sent_at } => {
+                self.on_lease_renewed(lease_id, sent_at, &response);
+            }
             CallPurpose::EndOldLease => self.on_old_lease_ended(&response),
-            CallPurpose::Register => self.on_registered(&response),
-            CallPurpose::ClaimLeadership => self.on_leadership_written(&response),
-            CallPurpose::AssignShards => self.on_shards_assigned(),
-            CallPurpose::RaiseToken => self.on_token_raise_answered(&response),
+            CallPurpose::Register { lease_id } => self.on_registered(lease_id, &response),
+            CallPurpose::ClaimLeadership { lease_id } => {
+                self.on_leadership_written(lease_id, &response);
+            }
+            CallPurpose::AssignShards => self.on_shards_assigned(&response),
+            CallPurpose::RaiseToken { lease_id } => {
+                self.on_token_raise_answered(lease_id, &response);
+            }
             CallPurpose::Snapshot => self.on_snapshot(response),
             CallPurpose::Watch => self.on_watch(response),
             CallPurpose::ReadRevision => self.on_revision(response),
@@ -234,13 +251,13 @@
                 self.on_task_changes_written(job, changes, response)
             }
             CallPurpose::Finalize { job } => self.on_finalized(job),
-            CallPurpose::DeletePages => self.commits.deleting_pages = false,
+            CallPurpose::DeletePages => self.commits.page_deletion.end(&response),
             CallPurpose::AllocateQuota { expected_version } => {
                 self.on_allocated(expected_version, response)
             }
             CallPurpose::QuotaTree => self.on_tree_written(&response),
             CallPurpose::FenceOff { jobs, shard } => self.on_fenced_off(jobs, shard, response),
-            CallPurpose::AdmissionPlan => self.commits.admission.plan_in_flight = false,
+            CallPurpose::AdmissionPlan => self.commits.admission.plan_write.end(&response),
             CallPurpose::NoFollowUp => {}
         }
     }
--- a/src/controller/commits/cleanup.rs
+++ b/src/controller/commits/cleanup.rs
@@ -58,7 +58,11 @@
     /// transaction can write these pages again, since each is conditioned on the version of the
     /// job's record.
     pub(in crate::controller) fn delete_finished_pages(&mut self) {
-        if !self.commits.backlog.is_empty() || self.commits.deleting_pages || !self.may_place() {
+        let applied = self.store_sync.applied;
+        if !self.commits.backlog.is_empty()
+            || !self.commits.page_deletion.is_open(applied)
+            || !self.may_place()
+        {
             return;
         }
         let max_ops = self.settings.deployment.state.txn_ops;
@@ -74,7 +78,7 @@
         if txn.changes.is_empty() {
             return;
         }
-        self.commits.deleting_pages = true;
+        self.commits.page_deletion.begin();
         self.transact(CallClass::Background, txn, CallPurpose::DeletePages);
     }
 }
--- a/src/controller/commits/mod.rs
+++ b/src/controller/commits/mod.rs
@@ -31,7 +31,7 @@
 use crate::lease::{LEADER_KEY, shard_key};
 use crate::quota;
 use crate::settings::{Settings, TeamSettings};
-use crate::store::{CallClass, Transaction};
+use crate::store::{CallClass, Transaction, WriteGate};
 use crate::types::{JobId, Millis, Revision};
 use commit_schedule::{CommitSchedule, WritePressure};
 use planned_write::PlannedWrite;
@@ -66,8 +66,8 @@
     /// Writes count as scarce until this time: scheduling cycles were stopped because placements
     /// could not be written soon.
     pub(super) writes_scarce_until: Millis,
-    /// Whether a transaction that deletes pages of finished jobs is in flight.
-    pub(super) deleting_pages: bool,
+    /// When pages of finished jobs may be deleted again.
+    pub(super) page_deletion: WriteGate,
 }
 
 impl Commits {
@@ -82,7 +82,7 @@
             gate: Gate::default(),
             backlog: Backlog::default(),
             writes_scarce_until: Millis(0),
-            deleting_pages: false,
+            page_deletion: WriteGate::default(),
         }
     }
 
--- a/src/controller/hierarchical_quota/publication.rs
+++ b/src/controller/hierarchical_quota/publication.rs
@@ -3,7 +3,7 @@
 use super::super::calls::CallPurpose;
 use super::super::{Controller, quota_allocation::Quota};
 use crate::quota::hierarchical::{PendingTreeWrite, TREE_HEAD_KEY, TreeStatus};
-use crate::store::{CallClass, StoreResponse, Transaction};
+use crate::store::{CallClass, StoreResponse, Transaction, WriteGate};
 use crate::types::Millis;
 
 /// Time between comparisons of the tree file with the store; the file is written if it is newer. An
@@ -20,8 +20,8 @@
     checked_at: Millis,
     /// The status of the file when it was last logged.
     logged_status: TreeStatus,
-    /// Whether a transaction that writes or deletes tree records is in flight.
-    write_in_flight: bool,
+    /// When tree records may be written or deleted again.
+    write: WriteGate,
 }
 
 impl TreePublication {
@@ -89,13 +89,18 @@
         self.quota.tree_publication.checked_at = self.now;
         let status = self.quota.hierarchy.tree_status();
         self.quota.tree_publication.log_status(status);
-        if self.quota.tree_publication.write_in_flight {
+        if !self
+            .quota
+            .tree_publication
+            .write
+            .is_open(self.store_sync.applied)
+        {
             return;
         }
         let max_changes = self.settings.deployment.state.txn_ops;
         let txn = self.quota.tree_transaction(max_changes, self.is_leading());
         if !txn.changes.is_empty() {
-            self.quota.tree_publication.write_in_flight = true;
+            self.quota.tree_publication.write.begin();
             self.transact(CallClass::Background, txn, CallPurpose::QuotaTree);
         }
     }
@@ -103,7 +108,7 @@
     /// Handles the response to a transaction that wrote or deleted tree records.
     pub(in crate::controller) fn on_tree_written(&mut self, response: &StoreResponse) {
         let publication = &mut self.quota.tree_publication;
-        publication.write_in_flight = false;
+        publication.write.end(response);
         // After a commit the next part follows without waiting for the interval.
         if matches!(response, StoreResponse::Committed(_)) {
             publication.checked_at = Millis(0);
--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -7,13 +7,13 @@
 mod shard_assignment;
 mod token_raise;
 
-use rustc_hash::{FxHashMap as HashMap, FxHashSet as HashSet};
+use rustc_hash::FxHashMap as HashMap;
 
 use super::{CallPurpose, Controller};
 use crate::lease::{
     self, ControllerRecord, LEADER_KEY, LeaderRecord, LeaseChange, Leases, OwnLease, Tenure,
 };
-use crate::store::{CallClass, StoreCall, StoreResponse, Transaction};
+use crate::store::{CallClass, StoreCall, StoreResponse, Transaction, WriteGate};
 use crate::types::{ControllerId, FencingToken, LeaseId, Millis, Revision, ShardId};
 
 /// A lease is renewed this many times per lease duration, so that some renewals may fail.
@@ -32,11 +32,12 @@
     pub(super) leading_since: Millis,
     /// When each shard last changed its holder, as observed by this controller.
     pub(super) shard_moved_at: HashMap<ShardId, Millis>,
-    /// Steps whose call to the store is in flight.
-    in_flight: HashSet<MembershipStep>,
+    /// When each step may be taken again, if not now.
+    steps: HashMap<MembershipStep, WriteGate>,
 }
 
-/// A step of membership that is one call to the store; at most one call of each is in flight.
+/// A step of membership that is one call to the store; at most one call of each is in flight, and one that was
+/// refused is repeated only when the cache shows why.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum MembershipStep {
     /// Ends the lease of the previous process with this controller's label.
@@ -54,14 +55,24 @@
 }
 
 impl Membership {
-    /// Marks a step as in flight. Returns false if it is in flight already.
-    fn begin(&mut self, step: MembershipStep) -> bool {
-        self.in_flight.insert(step)
+    /// Whether a step may be taken by a controller whose cache has reached revision `applied`.
+    fn may_begin(&self, step: MembershipStep, applied: Revision) -> bool {
+        let gate = self.steps.get(&step);
+        gate.is_none_or(|gate| gate.is_open(applied))
+    }
+
+    /// Marks a step as in flight. Returns false if it must not be taken yet.
+    fn begin(&mut self, step: MembershipStep, applied: Revision) -> bool {
+        let may_begin = self.may_begin(step, applied);
+        if may_begin {
+            self.steps.entry(step).or_default().begin();
+        }
+        may_begin
     }
 
     /// Marks a step as answered.
-    fn finish(&mut self, step: MembershipStep) {
-        self.in_flight.remove(&step);
+    fn finish(&mut self, step: MembershipStep, response: &StoreResponse) {
+        self.steps.entry(step).or_default().end(response);
     }
 
     /// Records this controller's lease, which is valid until `duration` after the call that granted
@@ -109,12 +120,17 @@
             self.membership.old_lease_ended = true;
             return;
         };
-        if self.membership.begin(MembershipStep::EndOldLease) {
+        if self.begin_step(MembershipStep::EndOldLease) {
             let call = StoreCall::Revoke(lease_id);
             self.call_store(CallClass::Leases, call, CallPurpose::EndOldLease);
         }
     }
 
+    /// Marks a step of membership as in flight. Returns false if it must not be taken yet.
+    fn begin_step(&mut self, step: MembershipStep) -> bool {
+        self.membership.begin(step, self.store_sync.applied)
+    }
+
     fn request_lease(&mut self) {
         self.membership.leases.own = OwnLease::Requested;
         let ttl_ms = self.settings.operator.lease.0;
@@ -126,8 +142,9 @@
     fn renew_lease(&mut self, lease_id: LeaseId) {
         let interval = Millis(self.settings.operator.lease.0 / RENEWALS_PER_LEASE);
         let due = self.membership.leases.renewal_base + interval;
-        if self.now >= due && self.membership.begin(MembershipStep::Renew) {
-            let purpose = CallPurpose::RenewLease { sent_at: self.now };
+        if self.now >= due && self.begin_step(MembershipStep::Renew) {
+            let sent_at = self.now;
+            let purpose = CallPurpose::RenewLease { lease_id, sent_at };
             self.call_store(CallClass::Leases, StoreCall::Renew(lease_id), purpose);
         }
     }
@@ -143,7 +160,7 @@
 
     /// Writes this controller's record under this lease.
     fn register(&mut self, lease_id: LeaseId) {
-        if !self.membership.begin(MembershipStep::Register) {
+        if !self.begin_step(MembershipStep::Register) {
             return;
         }
         let key = lease::controller_key(&self.me);
@@ -157,7 +174,8 @@
         let mut txn = Transaction::default();
         txn.require(key.clone(), version);
         txn.put_leased(key, &record, lease_id);
-        self.transact(CallClass::Leases, txn, CallPurpose::Register);
+        let purpose = CallPurpose::Register { lease_id };
+        self.transact(CallClass::Leases, txn, purpose);
     }
 
     /// Takes the leadership if it is vacant, and assigns the shards if this controller leads.
@@ -165,7 +183,7 @@
         let Some(lease_id) = self.membership.leases.lease_id() else {
             return;
         };
-        if self.membership.leases.leader.is_none() && self.membership.begin(MembershipStep::Lead) {
+        if self.membership.leases.leader.is_none() && self.begin_step(MembershipStep::Lead) {
             let record = LeaderRecord {
                 leader: self.me.clone(),
                 lease_id,
@@ -173,7 +191,8 @@
             let mut txn = Transaction::default();
             txn.require(LEADER_KEY.into(), Revision(0));
             txn.put_leased(LEADER_KEY.into(), &record, lease_id);
-            self.transact(CallClass::Leases, txn, CallPurpose::ClaimLeadership);
+            let purpose = CallPurpose::ClaimLeadership { lease_id };
+            self.transact(CallClass::Leases, txn, purpose);
         }
         if let Some(version) = self.leading() {
             self.assign_shards(version);
@@ -191,15 +210,24 @@
         }
     }
 
-    /// Handles the answer to a renewal, sent at `sent_at`.
-    pub(super) fn on_lease_renewed(&mut self, sent_at: Millis, response: StoreResponse) {
-        self.membership.finish(MembershipStep::Renew);
-        match (response, self.membership.leases.own) {
-            (StoreResponse::Renewed, OwnLease::Held { lease_id, .. }) => {
+    /// Handles the answer to a renewal of a lease, sent at `sent_at`.
+    pub(super) fn on_lease_renewed(
+        &mut self,
+        lease_id: LeaseId,
+        sent_at: Millis,
+        response: &StoreResponse,
+    ) {
+        self.membership.finish(MembershipStep::Renew, response);
+        if self.membership.leases.lease_id() != Some(lease_id) {
+            // This controller has given that lease up since.
+            return;
+        }
+        match response {
+            StoreResponse::Renewed => {
                 let lease = self.settings.operator.lease;
                 self.membership.record_lease(lease_id, sent_at, lease);
             }
-            (StoreResponse::LeaseExpired, _) => {
+            StoreResponse::LeaseExpired => {
                 tracing::info!("lease expired");
                 self.membership.leases.drop_own_lease(&self.me);
             }
@@ -210,27 +238,30 @@
 
     /// Handles the answer to ending the lease of the previous process.
     pub(super) fn on_old_lease_ended(&mut self, response: &StoreResponse) {
-        self.membership.finish(MembershipStep::EndOldLease);
+        self.membership
+            .finish(MembershipStep::EndOldLease, response);
         if matches!(response, StoreResponse::Revoked) {
             self.membership.old_lease_ended = true;
         }
     }
 
     /// Handles the answer to writing this controller's record.
-    pub(super) fn on_registered(&mut self, response: &StoreResponse) {
-        self.membership.finish(MembershipStep::Register);
-        self.lose_lease_if_ended(response);
+    pub(super) fn on_registered(&mut self, lease_id: LeaseId, response: &StoreResponse) {
+        self.membership.finish(MembershipStep::Register, response);
+        self.lose_lease_if_ended(lease_id, response);
     }
 
     /// Handles the answer to taking the leadership.
-    pub(super) fn on_leadership_written(&mut self, response: &StoreResponse) {
-        self.membership.finish(MembershipStep::Lead);
-        self.lose_lease_if_ended(response);
+    pub(super) fn on_leadership_written(&mut self, lease_id: LeaseId, response: &StoreResponse) {
+        self.membership.finish(MembershipStep::Lead, response);
+        self.lose_lease_if_ended(lease_id, response);
     }
 
-    /// Records the loss of this controller's lease if the answer shows that it has ended.
-    fn lose_lease_if_ended(&mut self, response: &StoreResponse) {
-        if matches!(response, StoreResponse::LeaseExpired) {
+    /// Records the loss of this controller's lease if the answer to a write under it shows that it has
+    /// ended.
+    fn lose_lease_if_ended(&mut self, lease_id: LeaseId, response: &StoreResponse) {
+        let is_current = self.membership.leases.lease_id() == Some(lease_id);
+        if is_current && matches!(response, StoreResponse::LeaseExpired) {
             self.membership.leases.drop_own_lease(&self.me);
         }
     }
@@ -310,3 +341,6 @@
         leader.map(|(leader, _)| leader)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/controller/membership/shard_assignment.rs
+++ b/src/controller/membership/shard_assignment.rs
@@ -4,7 +4,7 @@
 use super::super::{CallPurpose, Controller};
 use super::MembershipStep;
 use crate::lease::{self, LEADER_KEY, ShardRecord};
-use crate::store::{CallClass, Transaction};
+use crate::store::{CallClass, StoreResponse, Transaction};
 use crate::types::{ControllerId, LeaseId, Revision, ShardId};
 
 /// A shard record to write: conditions and contents.
@@ -39,12 +39,12 @@
     /// `leader_revision`. Shards that do not fit into the transaction are written with the next.
     pub(super) fn assign_shards(&mut self, leader_revision: Revision) {
         let step = MembershipStep::AssignShards;
-        if self.membership.in_flight.contains(&step) {
+        if !self.membership.may_begin(step, self.store_sync.applied) {
             return;
         }
         let txn = self.assignment_transaction(leader_revision);
         if !txn.changes.is_empty() {
-            self.membership.begin(step);
+            self.begin_step(step);
             self.transact(CallClass::Leases, txn, CallPurpose::AssignShards);
         }
     }
@@ -86,7 +86,8 @@
     }
 
     /// Handles the answer to the assignment; the shard records arrive with it or with the watch.
-    pub(in crate::controller) fn on_shards_assigned(&mut self) {
-        self.membership.finish(MembershipStep::AssignShards);
+    pub(in crate::controller) fn on_shards_assigned(&mut self, response: &StoreResponse) {
+        self.membership
+            .finish(MembershipStep::AssignShards, response);
     }
 }
--- a/src/controller/membership/token_raise.rs
+++ b/src/controller/membership/token_raise.rs
@@ -19,16 +19,17 @@
         // Not in partition mode: the store can't be reached, and its end gives up the shards.
         if !self.may_place()
             || self.partition.mode.is_on()
-            || self.membership.in_flight.contains(&step)
+            || !self.membership.may_begin(step, self.store_sync.applied)
         {
             return;
         }
         let Some((shard, tenure)) = self.shard_with_due_token() else {
             return;
         };
-        self.membership.begin(step);
+        self.begin_step(step);
         let txn = self.token_raise(&shard, tenure, lease_id);
-        self.transact(CallClass::Leases, txn, CallPurpose::RaiseToken);
+        let purpose = CallPurpose::RaiseToken { lease_id };
+        self.transact(CallClass::Leases, txn, purpose);
     }
 
     /// The shard whose token has the most direct starts to one worker, if that is enough to raise it.
@@ -69,9 +70,13 @@
     }
 
     /// Handles the answer to raising a token; the shard's record arrives with it or with the watch.
-    pub(in crate::controller) fn on_token_raise_answered(&mut self, response: &StoreResponse) {
-        self.membership.finish(MembershipStep::RaiseToken);
-        self.lose_lease_if_ended(response);
+    pub(in crate::controller) fn on_token_raise_answered(
+        &mut self,
+        lease_id: LeaseId,
+        response: &StoreResponse,
+    ) {
+        self.membership.finish(MembershipStep::RaiseToken, response);
+        self.lose_lease_if_ended(lease_id, response);
     }
 
     /// Handles a raised token of a shard.
--- a/src/controller/quota_allocation/fencing.rs
+++ b/src/controller/quota_allocation/fencing.rs
@@ -71,6 +71,7 @@
     /// record. After an unknown outcome nothing is reallocated or raised until the reallocation is
     /// fenced off, because the new allocations would not take it into account.
     fn on_allocated(&mut self, (shard, version): (ShardId, Revision), response: &StoreResponse) {
+        self.reallocation.end(response);
         if matches!(response, StoreResponse::Unknown) {
             self.unresolved_allocations
                 .push(UnresolvedAllocation { shard, version });
--- a/src/controller/quota_allocation/mod.rs
+++ b/src/controller/quota_allocation/mod.rs
@@ -25,6 +25,7 @@
 use crate::quota::QuotaAllocations;
 use crate::quota::hierarchical::HierarchicalQuota;
 use crate::settings::{Settings, TeamSettings};
+use crate::store::WriteGate;
 use crate::types::{JobId, Millis, ShardId};
 
 /// The teams' limits: their allocation to shards, and the tree of nested quotas.
@@ -43,6 +44,8 @@
     pub(super) allocations_in_flight: u32,
     /// Reallocations of unknown outcome that may still be applied.
     pub(super) unresolved_allocations: Vec<UnresolvedAllocation>,
+    /// When the leader may rewrite allocations again.
+    reallocation: WriteGate,
     /// When the leader last rewrote allocations.
     allocated_at: Millis,
     /// When transactions of unknown outcome were last fenced off.
@@ -67,6 +70,7 @@
             excess_checked_at: Millis(0),
             allocations_in_flight: 0,
             unresolved_allocations: Vec::new(),
+            reallocation: WriteGate::default(),
             allocated_at: Millis(0),
             fenced_off_at: Millis(0),
             to_fence_off: HashMap::default(),
--- a/src/controller/quota_allocation/reallocation.rs
+++ b/src/controller/quota_allocation/reallocation.rs
@@ -16,6 +16,7 @@
     /// at most once per [`REALLOCATION_INTERVAL`].
     pub(in crate::controller) fn reallocate_quota(&mut self) {
         if self.now.since(self.quota.allocated_at) < REALLOCATION_INTERVAL
+            || !self.quota.reallocation.is_open(self.store_sync.applied)
             || !self.may_place()
             || !self.may_raise_allocations()
         {
@@ -30,6 +31,7 @@
         };
         let expected_version = (first.clone(), self.quota.allocations.version(&first));
         self.quota.allocated_at = self.now;
+        self.quota.reallocation.begin();
         let txn = self.allocation_transaction(leader_version, records);
         self.transact(
             CallClass::Coordination,
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -11,7 +11,9 @@
 pub mod lanes;
 mod transaction;
 mod wire;
+mod write_gate;
 
 pub use call::{CallClass, Entry, StoreCall, StoreResponse, Update};
 pub use client::{Store, StoreReply};
 pub use transaction::{Mutation, Transaction};
+pub use write_gate::WriteGate;
