A submission whose answer comes late is answered with the job's current state

Users could be told "queued" after "cancelled" (`went_back`): the answer to the transaction of a submission came two seconds late; meanwhile the user had cancelled the job through another controller and was told so.

Cause: again an answer taken for news whenever it came. Change: if the watch has passed the revision of the commit by then, the request is handled like a poll. Reads that follow a refused submission or cancellation count their two seconds from when the call was sent, not from its late answer.

--- a/src/controller/calls.rs
+++ b/src/controller/calls.rs
@@ -54,6 +54,8 @@
     Submit {
         /// The new job.
         job: JobId,
+        /// When the call was sent.
+        sent_at: Millis,
     },
     /// Writes the cancellation of a job.
     Cancel {
@@ -61,6 +63,8 @@
         reply: ReplyId,
         /// The job to cancel.
         job: JobId,
+        /// When the call was sent.
+        sent_at: Millis,
     },
     /// Writes placements and ends of a job's tasks.
     TaskChanges {
@@ -245,8 +249,12 @@
             CallPurpose::Snapshot => self.on_snapshot(response),
             CallPurpose::Watch => self.on_watch(response),
             CallPurpose::ReadRevision => self.on_revision(response),
-            CallPurpose::Submit { job } => self.on_submitted(job, response),
-            CallPurpose::Cancel { reply, job } => self.on_cancel_committed(reply, job, response),
+            CallPurpose::Submit { job, sent_at } => self.on_submitted(job, sent_at, response),
+            CallPurpose::Cancel {
+                reply,
+                job,
+                sent_at,
+            } => self.on_cancel_committed(reply, job, sent_at, response),
             CallPurpose::TaskChanges { job, changes } => {
                 self.on_task_changes_written(job, changes, response)
             }
--- a/src/controller/cancellation.rs
+++ b/src/controller/cancellation.rs
@@ -7,7 +7,7 @@
 use crate::jobs::api::{JobState, Response};
 use crate::jobs::record::{JobRecord, job_key};
 use crate::store::{CallClass, StoreResponse, Transaction};
-use crate::types::{JobId, ReplyId};
+use crate::types::{JobId, Millis, ReplyId};
 
 impl Controller {
     /// Handles a user's request to cancel a job. A job that is not in the cache may be new, so the
@@ -36,15 +36,21 @@
         let mut txn = Transaction::default();
         txn.require(job_key(&id), job.version);
         txn.put(job_key(&id), &record);
-        let purpose = CallPurpose::Cancel { reply, job: id };
+        let (job, sent_at) = (id, self.now);
+        let purpose = CallPurpose::Cancel {
+            reply,
+            job,
+            sent_at,
+        };
         self.transact(CallClass::Cancellations, txn, purpose);
     }
 
-    /// Handles the store's answer to a cancellation.
+    /// Handles the store's answer to a cancellation, sent at `sent_at`.
     pub(super) fn on_cancel_committed(
         &mut self,
         reply: ReplyId,
         job: JobId,
+        sent_at: Millis,
         response: StoreResponse,
     ) {
         match response {
@@ -53,7 +59,7 @@
                 self.finalize_cancelled(&job);
             }
             StoreResponse::Conflict(revision) => {
-                self.resume_at_revision(revision, self.now, PendingRead::Abort { reply, job });
+                self.resume_at_revision(revision, sent_at, PendingRead::Abort { reply, job });
                 self.resume_ready_reads();
             }
             _ => self.respond(reply, Response::retry_soon()),
--- a/src/controller/user_requests.rs
+++ b/src/controller/user_requests.rs
@@ -120,7 +120,9 @@
         let mut txn = Transaction::default();
         txn.require(job_key(&id), Revision(0));
         txn.put(job_key(&id), &record);
-        self.transact(CallClass::Submissions, txn, CallPurpose::Submit { job: id });
+        let (job, sent_at) = (id, self.now);
+        let purpose = CallPurpose::Submit { job, sent_at };
+        self.transact(CallClass::Submissions, txn, purpose);
     }
 
     /// Refuses a submission, unless its job is known after a read barrier, since the cache may be
@@ -133,17 +135,22 @@
         self.after_read_barrier(PendingRead::Refuse { reply, job, why });
     }
 
-    /// Handles the store's answer to a submission.
-    pub(super) fn on_submitted(&mut self, id: JobId, response: StoreResponse) {
+    /// Handles the store's answer to a submission, sent at `sent_at`.
+    pub(super) fn on_submitted(&mut self, id: JobId, sent_at: Millis, response: StoreResponse) {
         let replies = self.requests.submitting.remove(&id).unwrap_or_default();
         for reply in replies {
             match response {
-                StoreResponse::Committed(_) => self.respond(reply, Response::Accepted(id.clone())),
+                StoreResponse::Committed(revision) if self.store_sync.may_miss(revision) => {
+                    self.respond(reply, Response::Accepted(id.clone()));
+                }
+                // The answer came late: another controller may have told the user meanwhile that the
+                // job is done or cancelled.
+                StoreResponse::Committed(_) => self.on_poll(reply, id.clone()),
                 // The job is known already: it was submitted to another controller, or by an
                 // earlier request to this one that was presumed lost.
                 StoreResponse::Conflict(revision) => {
                     let job = id.clone();
-                    self.resume_at_revision(revision, self.now, PendingRead::State { reply, job });
+                    self.resume_at_revision(revision, sent_at, PendingRead::State { reply, job });
                     self.resume_ready_reads();
                 }
                 _ => {
--- a/src/controller/user_requests/tests.rs
+++ b/src/controller/user_requests/tests.rs
@@ -5,6 +5,7 @@
 use crate::jobs::api::{JobStage, Response, parse, tests::body};
 use crate::jobs::record::{JobRecord, job_key};
 use crate::jobs::{Phase, Task};
+use crate::store::StoreResponse;
 use crate::types::{JobId, Millis, ReplyId, Revision};
 
 /// A controller whose cache has `job-1`, with one task, in the given phase.
@@ -151,3 +152,37 @@
         }
     }
 }
+
+/// Guards against `went_back`: a user was told by another controller that the job is cancelled, and then "queued" by
+/// the late answer to the submission.
+#[test]
+fn a_late_commit_of_a_submission_is_answered_with_the_current_state() {
+    let cases = [
+        // revision that the cache has reached when the answer comes, stage in the response
+        (29, None),
+        (31, Some(JobStage::Aborted)),
+    ];
+    for (applied, stage) in cases {
+        let mut controller = controller_with_job(Phase::Active);
+        let id = JobId::from("job-000002");
+        let (_, spec) = parse(body().to_string().as_bytes()).unwrap();
+        let waiting = vec![ReplyId(7)];
+        controller.requests.submitting.insert(id.clone(), waiting);
+        controller.commit_submission(id.clone(), spec);
+        let tag = *controller.calls.store.keys().max().unwrap();
+        controller.effects.clear();
+        if applied == 31 {
+            let record = r#"{"phase":"aborted","home":"n1","tasks":1,"page":8}"#;
+            controller.apply(&job_key(&id), Some(record), Revision(31));
+        }
+        controller.store_sync.applied = Revision(applied);
+        controller.on_store(tag, StoreResponse::Committed(Revision(30)));
+        complete_read_barriers(&mut controller);
+        let response = take_response(&mut controller).unwrap();
+        match (&response, stage) {
+            (Response::Accepted(_), None) => {}
+            (Response::State(state), Some(stage)) => assert_eq!(state.stage, stage),
+            _ => panic!("{response:?} at {applied}"),
+        }
+    }
+}
