One done task ends a gang of any size in one transaction

Cause: one completion counted as that of all tasks only if the gang had at most six pages; the completions of a larger one were written page by page. Those of the lost machine were released instead, and a gang that is done in part can't be placed: it is placed as a whole or not at all. A controller that stopped between two of the pages left the same.

Change: the first completion of a gang's last attempt writes the job's final record, on condition of that task's page, its shard's token and the job, whatever the number of pages. Nothing in between can be seen by another controller. "If one task is `done`, all of them are" (PROTOCOL, Gangs): the other pages need no condition, since no task is placed in a later attempt while this one is placed.

Test: one_done_task_completes_a_gang_of_any_number_of_pages fails on the sources before (it wrote "jt/task/job-1/9" in place of the final record) and passes; one_done_task_of_a_gang_completes_all_tasks_of_its_attempt is as it was.

--- a/src/controller/commits/cleanup.rs
+++ b/src/controller/commits/cleanup.rs
@@ -40,6 +40,23 @@
         self.transact(class, txn, CallPurpose::Finalize { job: id.clone() });
     }
 
+    /// Writes the final record of a gang of which the records show a done task. A controller of an earlier version may
+    /// have recorded the completions of a large gang one by one, and stopped before the last.
+    pub(in crate::controller) fn finalize_completed_gang(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if !job.is_completed_gang() || job.commit_state != CommitState::Idle {
+            return;
+        }
+        let mut txn = Transaction::default();
+        txn.require(job_key(id), job.version);
+        txn.put(job_key(id), &job.record.finished(Phase::Done));
+        job.commit_state = CommitState::InFlight;
+        let purpose = CallPurpose::Finalize { job: id.clone() };
+        self.transact(CallClass::Jobs, txn, purpose);
+    }
+
     /// Handles the store's answer to a final record.
     pub(in crate::controller) fn on_finalized(&mut self, id: JobId) {
         if let Some(job) = self.jobs.get_mut(&id) {
--- a/src/controller/commits/mod.rs
+++ b/src/controller/commits/mod.rs
@@ -145,8 +145,8 @@
         if job.commit_state != CommitState::Idle || job.pending_changes.is_empty() {
             return;
         }
-        let mut planned = self.plan_write(job);
-        planned.complete_gang(job);
+        let completion = self.plan_gang_completion(job);
+        let mut planned = completion.unwrap_or_else(|| self.plan_write(job));
         planned.require_zone_page(job);
         let Some(mut txn) = self.write_conditions(job, &planned) else {
             return self.restart_from_records(id);
--- a/src/controller/commits/planned_write.rs
+++ b/src/controller/commits/planned_write.rs
@@ -10,7 +10,7 @@
 use crate::jobs::cache::{Evidence, Job, TaskChange};
 use crate::jobs::{Phase, Placement, Task};
 use crate::lease::Tenure;
-use crate::types::{Attempt, FencingToken, Resources, ShardId};
+use crate::types::{FencingToken, Resources, ShardId};
 
 /// Maximum number of pages in one transaction: with 8 KiB each they stay below 64 KiB.
 const MAX_PAGES: usize = 6;
@@ -31,6 +31,8 @@
     pub(super) stale: Vec<u32>,
     /// How many placements were pending, by their outcome.
     pub(super) placements: PlacementCounts,
+    /// Whether the changes show that a gang is done.
+    pub(super) completes_gang: bool,
 }
 
 /// Counts of the placements among a job's pending changes.
@@ -74,45 +76,6 @@
         self.changes.push((index, change.clone()));
     }
 
-    /// Completes all tasks of a gang's attempt once one of them is done. The tasks of a gang
-    /// complete together: one completion proves that all tasks of its attempt are done, including
-    /// those whose departure from their machine was not observed.
-    pub(super) fn complete_gang(&mut self, job: &Job) {
-        let fits_transaction = job.record.page_count() as usize <= MAX_PAGES;
-        if !job.is_multi_task_gang() || !job.is_active() || !fits_transaction {
-            return;
-        }
-        let Some(finished) = self.finished_attempt() else {
-            return;
-        };
-        for page in 0..job.record.page_count() {
-            let tasks = self
-                .pages
-                .entry(page)
-                .or_insert_with(|| job.page_tasks(page));
-            for (index, task) in (page * job.record.page_size..).zip(tasks) {
-                let attempt = match task {
-                    Task::Placed(placement) => placement.attempt,
-                    Task::Waiting { last_attempt } => *last_attempt,
-                    Task::Done => continue,
-                };
-                if attempt == finished {
-                    *task = Task::Done;
-                    self.changes.retain(|(other, _)| *other != index);
-                    self.changes.push((index, TaskChange::Finish { attempt }));
-                }
-            }
-        }
-    }
-
-    /// The attempt of the first planned completion.
-    fn finished_attempt(&self) -> Option<Attempt> {
-        self.changes.iter().find_map(|(_, change)| match change {
-            TaskChange::Finish { attempt } => Some(*attempt),
-            _ => None,
-        })
-    }
-
     /// Adds the first page to a transaction that places tasks of a job with a zone constraint and
     /// several pages. That page is the record on which the controllers agree about the zones:
     /// concurrent placements by two of them conflict on it.
@@ -143,6 +106,9 @@
     /// `all_placements_known`: whether the cache shows every task that was placed before a
     /// cancellation.
     pub(super) fn final_phase(&self, job: &Job, all_placements_known: bool) -> Option<Phase> {
+        if self.completes_gang {
+            return Some(Phase::Done);
+        }
         let finished = self.changes.iter().filter(|(_, c)| c.finishes()).count() as u32;
         if job.is_active() {
             return (job.done + finished == job.record.tasks).then_some(Phase::Done);
@@ -178,6 +144,32 @@
         planned
     }
 
+    /// The transaction that records a gang as done, if one of its tasks is. The tasks of a gang complete
+    /// together, so one completion proves that all tasks of its attempt are done, including those whose
+    /// departure from their machine was not observed. One transaction ends the gang, whatever its size:
+    /// no other controller sees it done in part. Its conditions are those of the one completion, since
+    /// no task is placed in a later attempt as long as the completed one is placed in this one.
+    pub(super) fn plan_gang_completion(&self, job: &Job) -> Option<PlannedWrite> {
+        if !job.is_multi_task_gang() || !job.is_active() {
+            return None;
+        }
+        let last_attempt = job.highest_attempt();
+        let mut finished = job.pending_changes.iter().filter_map(|(index, change)| {
+            let TaskChange::Finish { attempt } = change else {
+                return None;
+            };
+            let allowed = self.check_change(job, *index, change)?;
+            (*attempt == last_attempt).then_some((*index, change, allowed))
+        });
+        let (index, change, allowed) = finished.next()?;
+        let mut planned = PlannedWrite {
+            completes_gang: true,
+            ..PlannedWrite::default()
+        };
+        planned.add(job, index, change, allowed);
+        Some(planned)
+    }
+
     /// Checks one change against the records; `None` if it is stale.
     fn check_change(&self, job: &Job, index: u32, change: &TaskChange) -> Option<AllowedChange> {
         match (change, job.task(index)) {
--- a/src/controller/commits/tests.rs
+++ b/src/controller/commits/tests.rs
@@ -281,3 +281,67 @@
         assert_eq!(written, at_once, "{change:?}, scarce: {scarce}");
     }
 }
+
+/// The changes of the transactions that the controller has sent, by key.
+fn written_keys(controller: &Controller) -> Vec<(String, bool)> {
+    let mut keys = Vec::new();
+    for effect in &controller.effects {
+        let Effect::Store {
+            call: StoreCall::Transaction(txn),
+            ..
+        } = effect
+        else {
+            continue;
+        };
+        keys.extend(txn.changes.iter().map(|change| match change {
+            crate::store::Mutation::Put { key, data, .. } => (key.clone(), data.contains("done")),
+            crate::store::Mutation::Delete { key } => (key.clone(), false),
+        }));
+    }
+    keys
+}
+
+/// A gang of 500 tasks was done, and one of its machines stopped before it reported that. The completions of the others
+/// were written page by page, and the job waited for its other tasks without end: they could not be placed beside tasks
+/// that were done.
+#[test]
+fn one_done_task_completes_a_gang_of_any_number_of_pages() {
+    let waits = |last_attempt| Task::Waiting {
+        last_attempt: Attempt(last_attempt),
+    };
+    let finish = Some(TaskChange::Finish {
+        attempt: Attempt(2),
+    });
+    let cases = [
+        // tasks of pages 1 to 8, pending change of the last task, whether the gang is recorded as done
+        (placed("vm-b", "b.0", 2), finish.clone(), true),
+        (waits(2), finish.clone(), true),
+        (waits(2), None, false),
+        // Left by a version that recorded completions page by page.
+        (Task::Done, None, true),
+        (Task::Done, finish, true),
+    ];
+    for (other_tasks, pending, done) in cases {
+        let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+        (spec.kind, spec.tasks, spec.one_zone) = (JobKind::Gang, 80, false);
+        let (mut controller, id) = controller(spec, vec![waits(2); 8]);
+        let case = format!("{other_tasks:?}, {pending:?}");
+        for page in 1..=8 {
+            let text = encode_page(&vec![other_tasks.clone(); 8]);
+            controller.apply(&page_key(&id, page), Some(&text), Revision(8));
+        }
+        let text = encode_page(&vec![placed("vm-a", "a.0", 2); 8]);
+        controller.apply(&page_key(&id, 9), Some(&text), Revision(9));
+        if let Some(pending) = pending {
+            controller.jobs.add_pending_change(&id, 79, pending);
+            controller.write(&id);
+        }
+        let written = written_keys(&controller);
+        let recorded = written
+            .iter()
+            .any(|(key, is_done)| *key == job_key(&id) && *is_done);
+        assert_eq!(recorded, done, "{case}: {written:?}");
+        let pages = written.iter().filter(|(key, _)| *key != job_key(&id));
+        assert_eq!(pages.count(), 0, "{case}: {written:?}");
+    }
+}
--- a/src/controller/placement/cycle.rs
+++ b/src/controller/placement/cycle.rs
@@ -24,6 +24,11 @@
         }
         let key = self.queue_key(job);
         self.work_counters.cycles.add(1);
+        if job.is_completed_gang() {
+            self.finalize_completed_gang(id);
+            self.requeue(id, 0, BTreeSet::new(), key);
+            return false;
+        }
         if self.defer_crash_looping(id, key) {
             return false;
         }
--- a/src/controller/queueing.rs
+++ b/src/controller/queueing.rs
@@ -51,6 +51,10 @@
             }
             return;
         }
+        if job.is_completed_gang() && self.is_responsible_for(job) {
+            self.finalize_completed_gang(id);
+        }
+        let Some(job) = self.jobs.get(id) else { return };
         if job.waiting_tasks() > 0
             && self.is_responsible_for(job)
             && !self.scheduler.queue.contains(id)
--- a/src/jobs/cache/job.rs
+++ b/src/jobs/cache/job.rs
@@ -212,6 +212,11 @@
         self.spec.kind == JobKind::Gang && self.record.tasks > 1
     }
 
+    /// Whether the records show that a gang is done: its tasks complete together, so that one done task proves it.
+    pub fn is_completed_gang(&self) -> bool {
+        self.is_active() && self.is_multi_task_gang() && self.done > 0
+    }
+
     /// Whether this is a gang of which some tasks are placed and others are not. Its attempt can't
     /// continue: the tasks that are left have to be released first.
     pub fn is_partially_placed_gang(&self) -> bool {
