A gang of many pages starts when all of it is placed, and is completed or taken back

In between it looked like a gang that had lost tasks: holders released what was placed, and only the machines of the last part got their starts at once. After a stop between two of the transactions nobody placed the rest.

Change: the cache knows how far a gang is placed (`GangPlacement`). While it is incomplete, and no task has left the attempt, its tasks are neither started nor released, and users are told `queued`. The rest is placed in the same attempt and zone by whoever is responsible for the job, a second after the last progress, so that two controllers do not write the same pages; after 15 s without progress the holders release it, so that two half-placed gangs do not block each other. When the last page arrives, all machines of the gang get their starts. If one task has left the attempt, the others are released, as before.

Tests: the_rest_of_a_gang_is_placed_in_the_same_attempt_or_not_at_all, tasks_of_an_incomplete_gang_wait_for_the_others, a_gang_of_several_pages_runs_only_once_it_is_complete.

--- a/crates/simulator/tests/faults/combined_faults/holders.rs
+++ b/crates/simulator/tests/faults/combined_faults/holders.rs
@@ -68,11 +68,12 @@
     versions.len() as u64
 }
 
-/// Completed tasks of a job, and all of its tasks.
+/// Completed tasks of a job, and all of its tasks; zero of both if it was not submitted yet.
 fn task_counts(world: &World, index: usize) -> (usize, usize) {
     let id = world.jobs[index].id();
     let completed = world.machines.completed.iter();
-    let tasks = world.machines.jobs[&id].spec.tasks;
+    let job = world.machines.jobs.get(&id);
+    let tasks = job.map_or(0, |job| job.spec.tasks);
     (
         completed.filter(|task| task.job == id).count(),
         tasks as usize,
--- a/crates/simulator/tests/faults/main.rs
+++ b/crates/simulator/tests/faults/main.rs
@@ -6,6 +6,7 @@
 mod combined_faults;
 mod command_copies;
 mod copy_injection;
+mod large_gangs;
 mod late_answers;
 mod leaders;
 mod search;
--- a/src/controller/commits/commit_schedule.rs
+++ b/src/controller/commits/commit_schedule.rs
@@ -51,7 +51,7 @@
     PartialCompletions,
     /// Tasks of a gang leave their machines; the gang can restart only as a whole.
     BrokenGang,
-    /// The first placements of a gang.
+    /// Placements of a gang.
     GangPlacement,
     /// Placements of an array of which more tasks wait.
     ArrayPlacements,
@@ -103,10 +103,10 @@
         ChangeKind::FinalCompletions
     } else if completions {
         ChangeKind::PartialCompletions
+    } else if job.is_multi_task_gang() && only_placements(job) {
+        ChangeKind::GangPlacement
     } else if more_departures_expected(job) && job.is_partially_placed_gang() {
         ChangeKind::BrokenGang
-    } else if job.is_multi_task_gang() && job.placed == 0 {
-        ChangeKind::GangPlacement
     } else if job.spec.kind == JobKind::Array && job.waiting_tasks() > 0 && only_placements(job) {
         ChangeKind::ArrayPlacements
     } else {
--- a/src/controller/commits/outcome.rs
+++ b/src/controller/commits/outcome.rs
@@ -54,14 +54,12 @@
         }
         self.commit(id);
         self.update_queue_entry(id);
-        let machine_ids: BTreeSet<MachineId> = changes
-            .into_iter()
-            .filter_map(|(_, change)| match change {
-                TaskChange::Place(placement) => Some(placement.machine_id),
-                _ => None,
-            })
-            .collect();
-        for machine_id in machine_ids {
+        let placed_on = changes.into_iter().filter_map(|(_, change)| match change {
+            TaskChange::Place(placement) => Some(placement.machine_id),
+            _ => None,
+        });
+        let placed_on: Vec<MachineId> = placed_on.collect();
+        for machine_id in self.machines_to_command(id, placed_on) {
             self.push_commands(&machine_id);
         }
     }
--- a/src/controller/commits/planned_write.rs
+++ b/src/controller/commits/planned_write.rs
@@ -153,15 +153,15 @@
         if !job.is_multi_task_gang() || !job.is_active() {
             return None;
         }
-        let last_attempt = job.highest_attempt();
-        let mut finished = job.pending_changes.iter().filter_map(|(index, change)| {
-            let TaskChange::Finish { attempt } = change else {
-                return None;
-            };
+        let mut changes = job.pending_changes.iter();
+        let (index, change, allowed) = changes.find_map(|(index, change)| {
             let allowed = self.check_change(job, *index, change)?;
-            (*attempt == last_attempt).then_some((*index, change, allowed))
-        });
-        let (index, change, allowed) = finished.next()?;
+            change.finishes().then_some((*index, change, allowed))
+        })?;
+        let finished = job.task(index).placement()?.attempt;
+        if finished != job.highest_attempt() {
+            return None;
+        }
         let mut planned = PlannedWrite {
             completes_gang: true,
             ..PlannedWrite::default()
@@ -174,7 +174,9 @@
     fn check_change(&self, job: &Job, index: u32, change: &TaskChange) -> Option<AllowedChange> {
         match (change, job.task(index)) {
             (TaskChange::Place(placement), Task::Waiting { last_attempt })
-                if job.is_active() && *last_attempt < placement.attempt =>
+                if job.is_active()
+                    && *last_attempt < placement.attempt
+                    && job.may_place_in(placement.attempt) =>
             {
                 self.check_placement(placement)
             }
--- a/src/controller/heartbeats/observation.rs
+++ b/src/controller/heartbeats/observation.rs
@@ -60,12 +60,14 @@
     /// The result of comparing a machine's newest heartbeat with the records; changes no state.
     pub(super) fn reconciliation_for(&self, machine: &Machine, tenure: Tenure) -> Reconciliation {
         let gang_may_be_fetching = |job: &Job| self.gang_may_be_fetching(job);
+        let gang_is_being_placed = |job: &Job| self.gang_is_being_placed(job);
         reconcile(
             machine,
             tenure,
             &self.jobs,
             &self.scheduler.stops,
             gang_may_be_fetching,
+            gang_is_being_placed,
         )
     }
 
--- a/src/controller/placement/cycle.rs
+++ b/src/controller/placement/cycle.rs
@@ -32,6 +32,14 @@
         if self.defer_crash_looping(id, key) {
             return false;
         }
+        if self
+            .jobs
+            .get(id)
+            .is_some_and(|job| self.may_be_placed_by_another(job))
+        {
+            self.requeue(id, 0, BTreeSet::new(), key);
+            return false;
+        }
         if popped.failures == 0 && self.try_faster_start(id, key) {
             return false;
         }
--- a/src/controller/placement/gang.rs
+++ b/src/controller/placement/gang.rs
@@ -1,4 +1,6 @@
-//! Machines for a gang: either all of its tasks are placed together, or none is.
+//! Machines for a gang: either all of its tasks are reserved together, or none is. A gang of many pages is written by
+//! several transactions; if one of them fails, the rest is placed in the same attempt, by any controller that is
+//! responsible for the job, or the whole gang is taken back after [`GANG_PLACEMENT_TIMEOUT`].
 
 use std::collections::BTreeSet;
 
@@ -6,9 +8,16 @@
 use crate::controller::Controller;
 use crate::controller::candidates::{MachineQuery, MachineScope};
 use crate::cycle::PlacementRequest;
-use crate::jobs::cache::Job;
+use crate::jobs::cache::{GangPlacement, Job};
 use crate::queue::Check;
-use crate::types::{Attempt, JobId, MachineId, Zone};
+use crate::types::{Attempt, JobId, MachineId, Millis, Zone};
+
+/// After this long without progress the rest of a gang that is placed in part may be placed by another controller than
+/// the one that began.
+const GANG_RESUME_DELAY: Millis = Millis(1_000);
+/// After this long without progress a gang that is placed in part is taken back, since it uses resources that other
+/// jobs may need. A new leader places the rest sooner.
+const GANG_PLACEMENT_TIMEOUT: Millis = Millis(15_000);
 
 impl Controller {
     /// Reserves machines for all tasks of a gang. The leader considers the whole fleet, so a gang
@@ -17,13 +26,17 @@
         let Some(job) = self.jobs.get(id) else {
             return Ok(());
         };
-        let attempt = Attempt(job.highest_attempt().0 + 1);
-        let tasks = job.record.tasks;
+        let (attempt, is_new) = match job.gang_placement() {
+            GangPlacement::Incomplete(attempt) => (attempt, false),
+            _ => (Attempt(job.highest_attempt().0 + 1), true),
+        };
+        let tasks = job.waiting_tasks();
         if self.leading().is_none() {
             let query = MachineQuery::within(MachineScope::Own);
             return self.place_gang_task_by_task(id, attempt, query);
         }
-        if tasks > 1
+        if is_new
+            && tasks > 1
             && let Some(machine_ids) = self.machines_for_gang(id)?
             && self.reserve_gang_on(id, attempt, &machine_ids)
         {
@@ -101,7 +114,33 @@
         machine_ids.iter().all(fits)
     }
 
-    /// Places the tasks one after the other. If one fits on no machine, the placements of the
+    /// Whether a gang was placed in part so recently that another controller may be about to place the rest.
+    pub(super) fn may_be_placed_by_another(&self, job: &Job) -> bool {
+        let is_incomplete = matches!(job.gang_placement(), GangPlacement::Incomplete(_));
+        is_incomplete && self.now.since(job.last_placement_change) < GANG_RESUME_DELAY
+    }
+
+    /// Whether the rest of a gang that is placed in part may still be placed in the same attempt.
+    pub(in crate::controller) fn gang_is_being_placed(&self, job: &Job) -> bool {
+        self.now.since(job.last_placement_change) < GANG_PLACEMENT_TIMEOUT
+    }
+
+    /// The zones to try for a gang, in order: one that requires a single zone has to be placed where its other tasks
+    /// are, if there are any. `None`: any zone.
+    fn zones_for_gang(&mut self, id: &JobId, scope: MachineScope) -> Vec<Option<Zone>> {
+        let job = self.jobs.get(id);
+        let Some(job) = job.filter(|job| job.spec.one_zone && job.is_multi_task_gang()) else {
+            return vec![None];
+        };
+        let placed_in = job.placements().map(|(_, placement)| &placement.shard.zone);
+        if let Some(zone) = placed_in.min() {
+            return vec![Some(zone.clone())];
+        }
+        let zones = self.zones_by_capacity(id, scope);
+        zones.into_iter().map(Some).collect()
+    }
+
+    /// Places the tasks that wait one after the other. If one fits on no machine, the placements of the
     /// others are cancelled. A gang that requires a single zone tries the zones in turn.
     fn place_gang_task_by_task(
         &mut self,
@@ -112,22 +151,18 @@
         let Some(job) = self.jobs.get(id) else {
             return Ok(());
         };
-        let tasks = job.record.tasks;
-        let zones: Vec<Option<Zone>> = if job.spec.one_zone && tasks > 1 {
-            let zones = self.zones_by_capacity(id, query.scope);
-            zones.into_iter().map(Some).collect()
-        } else {
-            vec![None]
-        };
+        let waiting = job.next_waiting(job.record.tasks as usize);
+        let zones = self.zones_for_gang(id, query.scope);
         let mut rejected_by = BTreeSet::from([Check::Machine, Check::Resources]);
         for zone in zones {
-            let placed = (0..tasks).try_for_each(|index| {
+            let placed = (0..).zip(&waiting).try_for_each(|(reserved, (index, _))| {
                 let query = MachineQuery {
                     zone: zone.as_ref(),
                     // The remaining tasks have to fit within the limit.
-                    raise_quota_for: query.raise_quota_for.map(|tasks| tasks - index),
+                    raise_quota_for: query.raise_quota_for.map(|tasks| tasks - reserved),
                     ..query
                 };
+                let index = *index;
                 let task = TaskAttempt { index, attempt };
                 self.reserve(id, task, query).map(|_| ())
             });
--- a/src/controller/placement/single_task.rs
+++ b/src/controller/placement/single_task.rs
@@ -6,7 +6,7 @@
 use crate::controller::Controller;
 use crate::controller::candidates::{MachineQuery, MachineScope};
 use crate::cycle::{self, PlacementRequest};
-use crate::jobs::cache::{Job, TaskChange};
+use crate::jobs::cache::{GangPlacement, Job, TaskChange};
 use crate::jobs::{JobKind, Placement};
 use crate::queue::Check;
 use crate::quota;
@@ -25,10 +25,10 @@
             return Ok(());
         };
         let gang = job.spec.kind == JobKind::Gang;
-        if gang && (job.placed > 0 || !job.pending_changes.is_empty()) {
+        if gang && !self.may_place_gang(job) {
             return Err(BTreeSet::from([Check::EarlierAttempt]));
         }
-        let tasks = if gang { job.record.tasks } else { 1 };
+        let tasks = if gang { job.waiting_tasks() } else { 1 };
         let wanted = job.spec.resources.times(f64::from(tasks));
         if !self.within_team_limits(job, wanted) {
             return Err(BTreeSet::from([Check::TeamQuota]));
@@ -40,6 +40,17 @@
         }
     }
 
+    /// Whether the waiting tasks of a gang may be placed: no task is placed, or the others may join the placed ones in
+    /// their attempt.
+    fn may_place_gang(&self, job: &Job) -> bool {
+        let may_join = match job.gang_placement() {
+            GangPlacement::None => job.placed == 0,
+            GangPlacement::Incomplete(_) => self.gang_is_being_placed(job),
+            GangPlacement::Complete | GangPlacement::Broken => false,
+        };
+        may_join && job.pending_changes.is_empty()
+    }
+
     /// Whether a job may use this much more without exceeding the limit of its team, or of a node
     /// above the team in the quota tree.
     fn within_team_limits(&self, job: &Job, wanted: Resources) -> bool {
--- a/src/controller/placement/tests.rs
+++ b/src/controller/placement/tests.rs
@@ -1,11 +1,12 @@
 use super::*;
 use crate::controller::Effect;
-use crate::controller::commits::tests::controller;
-use crate::jobs::Task;
+use crate::controller::commits::tests::{controller, placed};
 use crate::jobs::api::{parse, tests::body};
+use crate::jobs::cache::TaskChange;
 use crate::jobs::record::job_key;
+use crate::jobs::{JobKind, Task};
 use crate::peers::{MachineCondition, Message, Status};
-use crate::types::{AgentEpoch, MachineId, Revision};
+use crate::types::{AgentEpoch, FencingToken, MachineId, Revision, WorkerToken};
 
 /// A message between controllers takes a millisecond, and the watch takes up to its poll interval.
 /// A job that was forwarded at once was therefore unknown to the leader, and waited a second.
@@ -163,3 +164,46 @@
         );
     }
 }
+
+/// Guards against a gang of many pages that is never placed: a transaction with some of its pages failed, and the rest
+/// was neither placed in the same attempt nor were the placed tasks released.
+#[test]
+fn the_rest_of_a_gang_is_placed_in_the_same_attempt_or_not_at_all() {
+    let left = |attempt| Task::Waiting {
+        last_attempt: Attempt(attempt),
+    };
+    let cases = [
+        // first task, ms since it was placed, attempt and zone in which the second task is placed
+        (left(4), 2_000, Some((5, "b"))),
+        (placed("vm-a", "a.0", 5), 500, None),
+        (placed("vm-a", "a.0", 5), 2_000, Some((5, "a"))),
+        (placed("vm-a", "a.0", 5), 16_000, None),
+        // The second task has left the attempt of the first.
+        (placed("vm-a", "a.0", 4), 2_000, None),
+    ];
+    for (first, after_ms, expected) in cases {
+        let (_, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+        (spec.kind, spec.tasks, spec.one_zone) = (JobKind::Gang, 2, true);
+        let case = format!("{first:?} after {after_ms} ms");
+        let (mut controller, id) = controller(spec, vec![first, left(4)]);
+        controller.now = Millis(after_ms);
+        for machine in controller.machines.values_mut() {
+            machine.last_contact = Millis(after_ms);
+            machine.last_answer = Some((FencingToken(5), Millis(after_ms)));
+            machine.reachability.confirm();
+            machine.worker_token = WorkerToken::connected(FencingToken(5));
+        }
+        let popped = PoppedJob {
+            id: id.clone(),
+            failures: 1,
+        };
+        controller.run_cycle(&popped);
+        // A placement that is in flight still counts as pending.
+        let job = controller.jobs.get(&id).unwrap();
+        let second = job.pending_changes.get(&1).map(|change| match change {
+            TaskChange::Place(placement) => (placement.attempt.0, placement.shard.zone.as_str()),
+            other => panic!("{case}: {other:?}"),
+        });
+        assert_eq!(second, expected, "{case}");
+    }
+}
--- a/src/controller/placement/unplaced.rs
+++ b/src/controller/placement/unplaced.rs
@@ -6,7 +6,6 @@
 use crate::controller::candidates::{MachineQuery, MachineScope};
 use crate::controller::preemption::PreemptionScope;
 use crate::controller::{Controller, Effect};
-use crate::jobs::cache::Job;
 use crate::peers::Message;
 use crate::queue::{Check, PoppedJob, QueueKey};
 use crate::types::JobId;
@@ -85,9 +84,10 @@
         if self.leading().is_none() {
             return self.return_unless_owned(id, checks);
         }
-        if self.jobs.get(id).is_some_and(Job::is_multi_task_gang) {
-            // The cycle has already considered the whole fleet.
-            return if self.preempt_for_gang(id) {
+        if let Some(job) = self.jobs.get(id).filter(|job| job.is_multi_task_gang()) {
+            // The cycle has already considered the whole fleet. Room is made for a gang as a whole: one
+            // that is placed in part is taken back first.
+            return if job.placed == 0 && self.preempt_for_gang(id) {
                 Fallback::Preempting
             } else {
                 Fallback::None(checks)
--- a/src/controller/store_sync/apply.rs
+++ b/src/controller/store_sync/apply.rs
@@ -8,7 +8,7 @@
 use super::super::calls::WrittenRecord;
 use crate::admission::shared::PLAN_KEY;
 use crate::fleet::MACHINE_TYPES_KEY;
-use crate::jobs::cache::{CommitState, RecordChange};
+use crate::jobs::cache::{CommitState, GangPlacement, RecordChange};
 use crate::queue::ClusterEvent;
 use crate::quota;
 use crate::types::{JobId, MachineId, Revision, ShardId};
@@ -148,12 +148,34 @@
             .get(id)
             .is_some_and(|job| job.commit_state == CommitState::Idle);
         if foreign {
-            for machine_id in allocated {
+            for machine_id in self.machines_to_command(id, allocated) {
                 self.push_commands(&machine_id);
             }
         }
     }
 
+    /// The machines to send commands after tasks of a job were placed on some: these, or for a gang
+    /// all machines of its tasks once the last of them is placed, since its tasks start together.
+    pub(in crate::controller) fn machines_to_command(
+        &self,
+        id: &JobId,
+        placed_on: Vec<MachineId>,
+    ) -> BTreeSet<MachineId> {
+        let Some(job) = self.jobs.get(id).filter(|_| !placed_on.is_empty()) else {
+            return BTreeSet::new();
+        };
+        match job.gang_placement() {
+            GangPlacement::Incomplete(_) => BTreeSet::new(),
+            GangPlacement::Complete => {
+                let placements = job.placements();
+                placements
+                    .map(|(_, placement)| placement.machine_id.clone())
+                    .collect()
+            }
+            GangPlacement::None | GangPlacement::Broken => placed_on.into_iter().collect(),
+        }
+    }
+
     /// Queues every job that this controller is responsible for.
     pub(in crate::controller) fn update_all_queue_entries(&mut self) {
         let ids: Vec<JobId> = self.jobs.iter().map(|job| job.id.clone()).collect();
--- a/src/jobs/cache/apply.rs
+++ b/src/jobs/cache/apply.rs
@@ -199,7 +199,9 @@
                 update.add(first + index as u32, after);
             }
         }
-        update.finish()
+        let changed = update.finish();
+        job.update_gang_placement();
+        changed
     }
 }
 
--- a/src/jobs/cache/job.rs
+++ b/src/jobs/cache/job.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::change::{CommitState, TaskChange};
+use super::gang::{Attempts, GangPlacement};
 use crate::jobs::api::{JobStage, JobState};
 use crate::jobs::record::JobRecord;
 use crate::jobs::{JobKind, JobSpec, Phase, Placement, Task};
@@ -17,6 +18,8 @@
     pub(super) tasks: Vec<Task>,
     /// How many of the tasks are waiting.
     waiting: usize,
+    /// The attempts of the tasks.
+    attempts: Attempts,
 }
 
 impl Page {
@@ -24,10 +27,12 @@
     pub(super) fn new(version: Revision, tasks: Vec<Task>) -> Self {
         let is_waiting = |task: &&Task| matches!(task, Task::Waiting { .. });
         let waiting = tasks.iter().filter(is_waiting).count();
+        let attempts = Attempts::of(&tasks);
         Self {
             version,
             tasks,
             waiting,
+            attempts,
         }
     }
 }
@@ -53,6 +58,8 @@
     pub placed: u32,
     /// How many tasks its records say are done.
     pub done: u32,
+    /// How far it is placed, if it is a gang of several tasks.
+    gang_placement: GangPlacement,
     /// Changes of tasks that are not in the records yet, by task.
     pub pending_changes: BTreeMap<u32, TaskChange>,
     /// Tasks that are known to have left their machines while the records still place them there, with
@@ -81,6 +88,7 @@
             pages: BTreeMap::new(),
             placed: 0,
             done: 0,
+            gang_placement: GangPlacement::None,
             pending_changes: BTreeMap::new(),
             departed: BTreeMap::new(),
             commit_state: CommitState::Idle,
@@ -212,13 +220,37 @@
         self.spec.kind == JobKind::Gang && self.record.tasks > 1
     }
 
+    /// How far the tasks of a gang of several tasks are placed.
+    pub fn gang_placement(&self) -> GangPlacement {
+        self.gang_placement
+    }
+
+    /// Determines how far a gang is placed, after its pages have changed.
+    pub(super) fn update_gang_placement(&mut self) {
+        if self.is_multi_task_gang() {
+            let pages = self.pages.values();
+            let attempts = pages.fold(Attempts::default(), |sum, page| sum.and(&page.attempts));
+            let none_waiting = self.placed + self.done >= self.record.tasks;
+            self.gang_placement = attempts.gang_placement(none_waiting);
+        }
+    }
+
+    /// Whether a task of the job may be placed in this attempt; only the tasks of a gang of several tasks depend on
+    /// each other's.
+    pub fn may_place_in(&self, attempt: Attempt) -> bool {
+        match self.gang_placement {
+            GangPlacement::None => true,
+            GangPlacement::Incomplete(placed) => placed == attempt,
+            GangPlacement::Complete | GangPlacement::Broken => false,
+        }
+    }
+
     /// Whether the records show that a gang is done: its tasks complete together, so that one done task proves it.
     pub fn is_completed_gang(&self) -> bool {
         self.is_active() && self.is_multi_task_gang() && self.done > 0
     }
 
-    /// Whether this is a gang of which some tasks are placed and others are not. Its attempt can't
-    /// continue: the tasks that are left have to be released first.
+    /// Whether this is a gang of which some tasks are placed and others are not.
     pub fn is_partially_placed_gang(&self) -> bool {
         self.spec.kind == JobKind::Gang
             && self.placed > 0
@@ -227,17 +259,22 @@
 
     /// The state in responses to users.
     pub fn state(&self) -> JobState {
+        let running = match self.gang_placement {
+            // Its tasks start once all of them are placed.
+            GangPlacement::Incomplete(_) => 0,
+            _ => self.placed,
+        };
         let stage = match self.record.phase {
             Phase::Done => JobStage::Done,
             Phase::Aborted => JobStage::Aborted,
-            Phase::Active | Phase::Aborting if self.placed > 0 => JobStage::Running,
+            Phase::Active | Phase::Aborting if running > 0 => JobStage::Running,
             Phase::Active | Phase::Aborting => JobStage::Queued,
         };
         JobState {
             id: self.id.clone(),
             stage,
             done: self.done,
-            running: self.placed,
+            running,
         }
     }
 }
--- a/src/jobs/cache/mod.rs
+++ b/src/jobs/cache/mod.rs
@@ -7,6 +7,7 @@
 mod apply;
 mod change;
 mod changes;
+mod gang;
 mod job;
 mod machine_usage;
 mod team_usage;
@@ -21,6 +22,7 @@
 use crate::types::{Attempt, JobId, MachineId, Resources, Revision, ShardId, TaskId, Team};
 pub use apply::RecordChange;
 pub use change::{CommitState, Evidence, TaskChange};
+pub use gang::GangPlacement;
 use job::FinishedJob;
 pub use job::Job;
 pub use machine_usage::MachineUsage;
--- a/src/jobs/cache/tests.rs
+++ b/src/jobs/cache/tests.rs
@@ -158,3 +158,47 @@
     jobs.apply(&key, None, Revision(5), Millis(3));
     assert!(!jobs.is_occupied(&"vm-1".into()) && !jobs.is_occupied(&"vm-2".into()));
 }
+
+/// Guards against tasks of a large gang that are started, or reported as running, before the whole gang is placed.
+#[test]
+fn a_gang_of_several_pages_runs_only_once_it_is_complete() {
+    let at = |attempt| match placed("vm-1") {
+        Task::Placed(placement) => Task::Placed(Placement {
+            attempt: Attempt(attempt),
+            ..placement
+        }),
+        task => task,
+    };
+    let left = |attempt| Task::Waiting {
+        last_attempt: Attempt(attempt),
+    };
+    let incomplete = GangPlacement::Incomplete;
+    let cases = [
+        // the tasks of two pages, how far the gang is placed, tasks reported as running
+        ([left(0), left(0)], GangPlacement::None, 0),
+        ([left(2), left(2)], GangPlacement::None, 0),
+        ([at(3), left(0)], incomplete(Attempt(3)), 0),
+        ([at(3), left(2)], incomplete(Attempt(3)), 0),
+        ([at(3), left(3)], GangPlacement::Broken, 4),
+        ([at(3), at(3)], GangPlacement::Complete, 8),
+        ([at(3), at(2)], GangPlacement::Broken, 8),
+        ([at(3), Task::Done], GangPlacement::Complete, 4),
+    ];
+    for (tasks, placement, running) in cases {
+        let (mut jobs, id) = jobs(8, &[]);
+        let job = jobs.get_mut(&id).unwrap();
+        (job.spec.kind, job.record.spec) = (JobKind::Gang, None);
+        for (page, task) in (0..).zip(&tasks) {
+            let text = encode_page(&vec![task.clone(); 4]);
+            jobs.apply(&page_key(&id, page), Some(&text), Revision(2), Millis(1));
+        }
+        let job = jobs.get(&id).unwrap();
+        assert_eq!(job.gang_placement(), placement, "{tasks:?}");
+        assert_eq!(job.state().running, running, "{tasks:?}");
+        assert_eq!(
+            job.state().stage == JobStage::Running,
+            running > 0,
+            "{tasks:?}"
+        );
+    }
+}
--- a/src/workers/reconcile.rs
+++ b/src/workers/reconcile.rs
@@ -5,8 +5,8 @@
 
 use super::wire::{ExitCause, TaskStage, WorkerCommand};
 use super::{Machine, ReportedAttempt};
-use crate::jobs::cache::{Evidence, Job, JobCache, TaskChange};
-use crate::jobs::{Phase, Placement, Task};
+use crate::jobs::cache::{Evidence, GangPlacement, Job, JobCache, TaskChange};
+use crate::jobs::{Placement, Task};
 use crate::lease::Tenure;
 use crate::types::{Attempt, JobId, TaskId};
 
@@ -47,7 +47,8 @@
 /// Reconciles the newest heartbeat in `machine` with the job records. `tenure` has the tokens under which this
 /// controller holds the machine's shard: a heartbeat whose worker had not seen any of them yet proves nothing,
 /// since an earlier holder's start may follow, and has no effect. `gang_may_be_fetching` tells whether other tasks
-/// of a gang may still be fetching its image.
+/// of a gang may still be fetching its image, `gang_is_being_placed` whether the rest of a gang that is placed in part
+/// may soon be placed.
 #[must_use]
 pub fn reconcile(
     machine: &Machine,
@@ -55,6 +56,7 @@
     jobs: &JobCache,
     stops: &RequestedStops,
     gang_may_be_fetching: impl Fn(&Job) -> bool,
+    gang_is_being_placed: impl Fn(&Job) -> bool,
 ) -> Reconciliation {
     if machine.worker_token.fencing_token() < tenure.acquired {
         return Reconciliation::default();
@@ -65,6 +67,7 @@
         jobs,
         stops,
         gang_may_be_fetching,
+        gang_is_being_placed,
         outcome: Reconciliation::default(),
         late_start_commands: Vec::new(),
     };
@@ -74,19 +77,24 @@
 }
 
 /// One reconciliation of a heartbeat with the records.
-struct Reconciler<'a, GangMayBeFetching> {
+struct Reconciler<'a, GangMayBeFetching, GangIsBeingPlaced> {
     machine: &'a Machine,
     tenure: Tenure,
     jobs: &'a JobCache,
     stops: &'a RequestedStops,
     gang_may_be_fetching: GangMayBeFetching,
+    gang_is_being_placed: GangIsBeingPlaced,
     outcome: Reconciliation,
     /// Starts and stops of unwanted attempts whose start may still arrive. They keep their order, each
     /// start before its stop.
     late_start_commands: Vec<WorkerCommand>,
 }
 
-impl<'a, GangMayBeFetching: Fn(&Job) -> bool> Reconciler<'a, GangMayBeFetching> {
+impl<'a, GangMayBeFetching, GangIsBeingPlaced> Reconciler<'a, GangMayBeFetching, GangIsBeingPlaced>
+where
+    GangMayBeFetching: Fn(&Job) -> bool,
+    GangIsBeingPlaced: Fn(&Job) -> bool,
+{
     /// Compares each attempt in the heartbeat with the record of its task. Returns the tasks of the
     /// current ones: those placed here in the reported attempt and agent epoch.
     fn reconcile_reported_tasks(&mut self) -> HashSet<&'a TaskId> {
@@ -172,7 +180,7 @@
     /// the holder is stopping the task.
     fn stop_if_unwanted(&mut self, job: &Job, reported: &ReportedAttempt) {
         let (task, attempt) = (&reported.task, reported.attempt);
-        if !is_wanted(job) {
+        if !is_wanted(job) && !self.awaits_gang(job) {
             self.kill(task, attempt);
         } else if let Some(stop) = self.stops.get(task)
             && stop.attempt == attempt
@@ -232,7 +240,11 @@
         if placement.agent_epoch != self.machine.agent_epoch {
             return;
         }
-        if is_wanted(job) && !self.is_stopped(task, attempt) {
+        let is_stopped = self.is_stopped(task, attempt);
+        if self.awaits_gang(job) && !is_stopped {
+            return;
+        }
+        if is_wanted(job) && !is_stopped {
             self.outcome.commands.push(WorkerCommand::Start {
                 task: task.clone(),
                 attempt,
@@ -247,6 +259,13 @@
         }
     }
 
+    /// Whether a job is a gang whose placement is still being written. Its tasks are neither started nor released:
+    /// all of them start, or none does.
+    fn awaits_gang(&self, job: &Job) -> bool {
+        let is_incomplete = matches!(job.gang_placement(), GangPlacement::Incomplete(_));
+        job.is_active() && is_incomplete && (self.gang_is_being_placed)(job)
+    }
+
     /// Whether the worker has begun a new agent epoch since a task was placed, and so has killed all tasks
     /// that it had.
     fn epoch_has_ended(&self, placement: &Placement) -> bool {
@@ -334,7 +353,11 @@
 
 /// Whether a job's tasks should run.
 fn is_wanted(job: &Job) -> bool {
-    job.record.phase == Phase::Active && !job.is_partially_placed_gang()
+    let gang_may_run = match job.gang_placement() {
+        GangPlacement::None | GangPlacement::Complete => true,
+        GangPlacement::Incomplete(_) | GangPlacement::Broken => false,
+    };
+    job.is_active() && gang_may_run
 }
 
 /// Whether an exit counts as a failure of the job or the machine.
--- a/src/workers/reconcile/tests.rs
+++ b/src/workers/reconcile/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::jobs::api::{parse, tests::body};
 use crate::jobs::record::{JobRecord, encode_page, job_key, page_key};
-use crate::jobs::{JobKind, JobSpec};
+use crate::jobs::{JobKind, JobSpec, Phase};
 use crate::types::{AgentEpoch, ExchangeId, FencingToken, Millis, Revision, ShardId, WorkerToken};
 use crate::workers::ReportedAttempts;
 use crate::workers::direct_channel::{ExchangeOutcome, ExchangeStart};
@@ -107,6 +107,7 @@
             &jobs,
             &RequestedStops::default(),
             |_| gang_may_be_fetching,
+            |_| false,
         );
         let attempt = last_attempt;
         let forget = WorkerCommand::Forget {
@@ -211,6 +212,7 @@
             &jobs,
             &RequestedStops::default(),
             |_| false,
+            |_| false,
         );
         let is_release = |(_, _, change): &(JobId, u32, TaskChange)| {
             matches!(change, TaskChange::Release { .. })
@@ -285,7 +287,7 @@
     for (name, send_start, released) in cases {
         let mut machine = machine_under_token();
         send_start(&mut machine, (task.clone(), attempt));
-        let outcome = reconcile(&machine, tenure(), &jobs, &stops, |_| false);
+        let outcome = reconcile(&machine, tenure(), &jobs, &stops, |_| false, |_| false);
         assert_eq!(!outcome.changes.is_empty(), released, "{name}");
         // Guards against a gang that waits forever for a task whose start was sent to a machine that
         // received no commands: the attempt is made known to the worker, and stopped.
@@ -315,7 +317,7 @@
             save: false,
         };
         let stops = RequestedStops::from_iter([(TaskId { job: id, index: 0 }, stop)]);
-        let outcome = reconcile(&machine, tenure(), &jobs, &stops, |_| false);
+        let outcome = reconcile(&machine, tenure(), &jobs, &stops, |_| false, |_| false);
         assert_eq!(!outcome.changes.is_empty(), released, "stop of {stopped}");
         assert_eq!(outcome.commands.is_empty(), released, "stop of {stopped}");
     }
@@ -374,7 +376,7 @@
         for listed in [[&*first, &*second], [&*second, &*first]] {
             let (machine, jobs) = after_two_attempts(&id, phase, &listed);
             let stops = RequestedStops::default();
-            let outcome = reconcile(&machine, tenure(), &jobs, &stops, |_| false);
+            let outcome = reconcile(&machine, tenure(), &jobs, &stops, |_| false, |_| false);
             let expected: Vec<WorkerCommand> = killed
                 .iter()
                 .map(|attempt| WorkerCommand::Stop {
@@ -406,7 +408,7 @@
         let status = format!(r#"{{"pick":"job-000412/0","try":1,{state}}}"#);
         let (machine, jobs) = after_two_attempts(&id, Phase::Aborting, &[&status]);
         let stops = RequestedStops::default();
-        let outcome = reconcile(&machine, tenure(), &jobs, &stops, |_| false);
+        let outcome = reconcile(&machine, tenure(), &jobs, &stops, |_| false, |_| false);
         assert_eq!(!outcome.changes.is_empty(), released, "attempt 1: {state}");
     }
 }
@@ -453,7 +455,7 @@
                 token: FencingToken(5),
             };
             let stops = RequestedStops::default();
-            let outcome = reconcile(&machine, tenure, &jobs, &stops, |_| false);
+            let outcome = reconcile(&machine, tenure, &jobs, &stops, |_| false, |_| false);
             let (task, attempt) = start.clone();
             let expected = forgotten.then_some(WorkerCommand::Forget { task, attempt });
             let case = format!(
@@ -463,3 +465,77 @@
         }
     }
 }
+
+/// Guards against tasks of a gang that are released, or started alone, while the rest of the gang is still being placed
+/// by further transactions.
+#[test]
+fn tasks_of_an_incomplete_gang_wait_for_the_others() {
+    let (id, mut spec) = parse(body().to_string().as_bytes()).unwrap();
+    (spec.kind, spec.tasks) = (JobKind::Gang, 2);
+    let attempt = Attempt(2);
+    let placement = Placement {
+        machine_id: "vm-1".into(),
+        shard: ShardId::parse("a.0").unwrap(),
+        agent_epoch: AgentEpoch(1),
+        attempt,
+    };
+    let left = |attempt| Task::Waiting {
+        last_attempt: Attempt(attempt),
+    };
+    let cases = [
+        // the other task, whether the rest is being placed, whether the task is stopped, started, released
+        (left(0), true, false, false, false),
+        (left(1), true, false, false, false),
+        (left(1), true, true, false, true),
+        (left(1), false, false, false, true),
+        (left(2), true, false, false, true),
+        (Task::Placed(placement.clone()), true, false, true, false),
+    ];
+    for (other, being_placed, stopped, started, released) in cases {
+        let case = format!("{other:?}, being placed: {being_placed}, stopped: {stopped}");
+        let record = JobRecord {
+            phase: Phase::Active,
+            owner: "n0".into(),
+            tasks: 2,
+            page_size: 1,
+            spec: Some(spec.clone()),
+        };
+        let mut jobs = JobCache::default();
+        let record = serde_json::to_string(&record).unwrap();
+        jobs.apply(&job_key(&id), Some(&record), Revision(1), Millis(1));
+        let tasks = [Task::Placed(placement.clone()), other];
+        for (page, task) in (0..).zip(tasks) {
+            let text = encode_page(&[task]);
+            jobs.apply(&page_key(&id, page), Some(&text), Revision(2), Millis(1));
+        }
+        let task = TaskId {
+            job: id.clone(),
+            index: 0,
+        };
+        let stop = Stop {
+            attempt,
+            save: false,
+        };
+        let stops = stopped.then(|| (task.clone(), stop)).into_iter().collect();
+        let tenure = Tenure::new(FencingToken(3));
+        let mut machine = Machine::new(
+            "vm-1".into(),
+            "g8".into(),
+            "a".into(),
+            false,
+            placement.shard.clone(),
+            "n0".into(),
+        );
+        machine.agent_epoch = AgentEpoch(1);
+        machine.worker_token = WorkerToken::connected(FencingToken(3));
+        let outcome = reconcile(&machine, tenure, &jobs, &stops, |_| false, |_| being_placed);
+        let start = WorkerCommand::Start {
+            task: task.clone(),
+            attempt,
+        };
+        assert_eq!(outcome.commands.contains(&start), started, "{case}");
+        let of_task = |(_, index, _): &&(JobId, u32, TaskChange)| *index == 0;
+        let change = outcome.changes.iter().find(of_task);
+        assert_eq!(change.is_some(), released, "{case}");
+    }
+}
