A refused transaction may be repeated after a second, whatever the cache shows

The revision of a refusal may be that of a granted lease, which the watch does not deliver: the cache then reaches it with the next change only, after up to 10 s. A refused step waits for a second at most now; the refused records arrive within that time if the watch works.

--- a/src/admission/shared.rs
+++ b/src/admission/shared.rs
@@ -107,7 +107,7 @@
         now: Millis,
     ) -> Option<Plan> {
         let is_early = now.since(self.planned_at) < MIN_PLAN_INTERVAL;
-        if !self.plan_write.is_open(applied) || is_early && self.version != Revision(0) {
+        if !self.plan_write.is_open(applied, now) || is_early && self.version != Revision(0) {
             return None;
         }
         let demands: Vec<ControllerDemand> = controllers
@@ -136,7 +136,7 @@
 
     /// Records that this controller starts to write a plan now.
     pub fn record_plan(&mut self, now: Millis) {
-        self.plan_write.begin();
+        self.plan_write.begin(now);
         self.planned_at = now;
     }
 }
--- a/src/controller/commits/cleanup.rs
+++ b/src/controller/commits/cleanup.rs
@@ -77,7 +77,7 @@
     pub(in crate::controller) fn delete_finished_pages(&mut self) {
         let applied = self.store_sync.applied;
         if !self.commits.backlog.is_empty()
-            || !self.commits.page_deletion.is_open(applied)
+            || !self.commits.page_deletion.is_open(applied, self.now)
             || !self.may_place()
         {
             return;
@@ -95,7 +95,7 @@
         if txn.changes.is_empty() {
             return;
         }
-        self.commits.page_deletion.begin();
+        self.commits.page_deletion.begin(self.now);
         self.transact(CallClass::Background, txn, CallPurpose::DeletePages);
     }
 }
--- a/src/controller/hierarchical_quota/publication.rs
+++ b/src/controller/hierarchical_quota/publication.rs
@@ -93,14 +93,14 @@
             .quota
             .tree_publication
             .write
-            .is_open(self.store_sync.applied)
+            .is_open(self.store_sync.applied, self.now)
         {
             return;
         }
         let max_changes = self.settings.deployment.state.txn_ops;
         let txn = self.quota.tree_transaction(max_changes, self.is_leading());
         if !txn.changes.is_empty() {
-            self.quota.tree_publication.write.begin();
+            self.quota.tree_publication.write.begin(self.now);
             self.transact(CallClass::Background, txn, CallPurpose::QuotaTree);
         }
     }
--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -55,17 +55,17 @@
 }
 
 impl Membership {
-    /// Whether a step may be taken by a controller whose cache has reached revision `applied`.
-    fn may_begin(&self, step: MembershipStep, applied: Revision) -> bool {
+    /// Whether a step may be taken now by a controller whose cache has reached revision `applied`.
+    fn may_begin(&self, step: MembershipStep, applied: Revision, now: Millis) -> bool {
         let gate = self.steps.get(&step);
-        gate.is_none_or(|gate| gate.is_open(applied))
+        gate.is_none_or(|gate| gate.is_open(applied, now))
     }
 
     /// Marks a step as in flight. Returns false if it must not be taken yet.
-    fn begin(&mut self, step: MembershipStep, applied: Revision) -> bool {
-        let may_begin = self.may_begin(step, applied);
+    fn begin(&mut self, step: MembershipStep, applied: Revision, now: Millis) -> bool {
+        let may_begin = self.may_begin(step, applied, now);
         if may_begin {
-            self.steps.entry(step).or_default().begin();
+            self.steps.entry(step).or_default().begin(now);
         }
         may_begin
     }
@@ -126,9 +126,16 @@
         }
     }
 
+    /// Whether a step of membership may be taken now.
+    fn may_begin_step(&self, step: MembershipStep) -> bool {
+        let applied = self.store_sync.applied;
+        self.membership.may_begin(step, applied, self.now)
+    }
+
     /// Marks a step of membership as in flight. Returns false if it must not be taken yet.
     fn begin_step(&mut self, step: MembershipStep) -> bool {
-        self.membership.begin(step, self.store_sync.applied)
+        let applied = self.store_sync.applied;
+        self.membership.begin(step, applied, self.now)
     }
 
     fn request_lease(&mut self) {
--- a/src/controller/membership/shard_assignment.rs
+++ b/src/controller/membership/shard_assignment.rs
@@ -39,7 +39,7 @@
     /// `leader_revision`. Shards that do not fit into the transaction are written with the next.
     pub(super) fn assign_shards(&mut self, leader_revision: Revision) {
         let step = MembershipStep::AssignShards;
-        if !self.membership.may_begin(step, self.store_sync.applied) {
+        if !self.may_begin_step(step) {
             return;
         }
         let txn = self.assignment_transaction(leader_revision);
--- a/src/controller/membership/token_raise.rs
+++ b/src/controller/membership/token_raise.rs
@@ -17,10 +17,7 @@
             return;
         };
         // Not in partition mode: the store can't be reached, and its end gives up the shards.
-        if !self.may_place()
-            || self.partition.mode.is_on()
-            || !self.membership.may_begin(step, self.store_sync.applied)
-        {
+        if !self.may_place() || self.partition.mode.is_on() || !self.may_begin_step(step) {
             return;
         }
         let Some((shard, tenure)) = self.shard_with_due_token() else {
--- a/src/controller/quota_allocation/reallocation.rs
+++ b/src/controller/quota_allocation/reallocation.rs
@@ -16,7 +16,10 @@
     /// at most once per [`REALLOCATION_INTERVAL`].
     pub(in crate::controller) fn reallocate_quota(&mut self) {
         if self.now.since(self.quota.allocated_at) < REALLOCATION_INTERVAL
-            || !self.quota.reallocation.is_open(self.store_sync.applied)
+            || !self
+                .quota
+                .reallocation
+                .is_open(self.store_sync.applied, self.now)
             || !self.may_place()
             || !self.may_raise_allocations()
         {
@@ -31,7 +34,7 @@
         };
         let expected_version = (first.clone(), self.quota.allocations.version(&first));
         self.quota.allocated_at = self.now;
-        self.quota.reallocation.begin();
+        self.quota.reallocation.begin(self.now);
         let txn = self.allocation_transaction(leader_version, records);
         self.transact(
             CallClass::Coordination,
