The completion of a gang is looked for among its completions only

While a gang of many pages is placed, each of its transactions checked every pending placement of the gang before it found that none of its tasks is done. Same result, fewer checks.

--- a/src/controller/commits/planned_write.rs
+++ b/src/controller/commits/planned_write.rs
@@ -153,10 +153,11 @@
         if !job.is_multi_task_gang() || !job.is_active() {
             return None;
         }
-        let mut changes = job.pending_changes.iter();
-        let (index, change, allowed) = changes.find_map(|(index, change)| {
+        let changes = job.pending_changes.iter();
+        let mut finishes = changes.filter(|(_, change)| change.finishes());
+        let (index, change, allowed) = finishes.find_map(|(index, change)| {
             let allowed = self.check_change(job, *index, change)?;
-            change.finishes().then_some((*index, change, allowed))
+            Some((*index, change, allowed))
         })?;
         let finished = job.task(index).placement()?.attempt;
         if finished != job.highest_attempt() {
